--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# The commands of README. `make test` is what CI runs.
+GO ?= go
+BINARIES := $(notdir $(wildcard cmd/*))
+DEPLOYMENT ?= consortium
+
+.PHONY: build test check unit bench clean
+
+build:
+	@mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+test: check unit
+
+check:
+	@scripts/check-shape.sh
+	@test -z "$$(gofmt -l .)" || { echo "gofmt differs:"; gofmt -l .; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -race -count=1 -timeout 8m ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/charts/charts_test.go
@@ -0,0 +1,24 @@
+package charts_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/charts"
+)
+
+var _ = Describe("Embedded charts", func() {
+	It("load, are checked and carry the name of their file", func() {
+		Expect(charts.Names()).To(ContainElement("process"))
+		for _, name := range charts.Names() {
+			c, err := charts.Load(name)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Name()).To(Equal(name))
+		}
+	})
+
+	It("says which chart is missing", func() {
+		_, err := charts.Load("weather")
+		Expect(err).To(MatchError(ContainSubstring(`no chart "weather"`)))
+	})
+})
--- /dev/null
+++ b/peerrpc/client.go
@@ -0,0 +1,118 @@
+// Package peerrpc carries messages between the system's own processes by
+// net/rpc over TCP.
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of calls.
+var (
+	// ErrNotSent means that the call did not leave this process: the peer has
+	// not seen it.
+	ErrNotSent = eris.New("peer not reached")
+	// ErrNoReply means that the call was sent and no reply came: the peer may
+	// have acted on it.
+	ErrNoReply = eris.New("no reply from peer")
+)
+
+// dialTimeout bounds the time to connect to a peer.
+const dialTimeout = 500 * time.Millisecond
+
+// Client keeps one connection to each peer that it has called.
+type Client struct {
+	// mu guards connections: callers are the handlers of many requests, and
+	// each holds it only to look up or replace an entry.
+	mu          sync.Mutex
+	connections map[string]*rpc.Client
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{connections: map[string]*rpc.Client{}}
+}
+
+// Call calls the method of the peer at address and fills reply. It returns
+// ErrNotSent, ErrNoReply, or the error that the method returned. A reply that
+// comes after ctx has ended is dropped, so reply is not touched later: the
+// caller must not reuse reply after an error.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	connection, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := connection.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return eris.Wrapf(ErrNoReply, "%s at %s: %v", method, address, ctx.Err())
+	case done := <-call.Done:
+		return c.settle(address, connection, done.Error)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, connection := range c.connections {
+		_ = connection.Close()
+		delete(c.connections, address)
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	connection := c.connections[address]
+	c.mu.Unlock()
+	if connection != nil {
+		return connection, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
+	}
+	return c.keep(address, rpc.NewClient(socket)), nil
+}
+
+// keep stores a new connection, unless another caller was faster.
+func (c *Client) keep(address string, fresh *rpc.Client) *rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.connections[address]; other != nil {
+		_ = fresh.Close()
+		return other
+	}
+	c.connections[address] = fresh
+	return fresh
+}
+
+// settle tells an error of the peer's method from one of the connection.
+func (c *Client) settle(address string, connection *rpc.Client, err error) error {
+	if err == nil {
+		return nil
+	}
+	if _, ok := err.(rpc.ServerError); ok {
+		return err
+	}
+	c.drop(address, connection)
+	if err == rpc.ErrShutdown {
+		return eris.Wrapf(ErrNotSent, "%s: %v", address, err)
+	}
+	return eris.Wrapf(ErrNoReply, "%s: %v", address, err)
+}
+
+func (c *Client) drop(address string, connection *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connections[address] == connection {
+		delete(c.connections, address)
+	}
+	_ = connection.Close()
+}
