--- /dev/null
+++ b/config/table_test.go
@@ -0,0 +1,108 @@
+package config_test
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/hornbeamworks/hornbeam/platform"
+)
+
+// table is a small table in memory whose service fails on demand.
+type table struct {
+	// mu guards the rest: duties and the test use the table at once.
+	mu         sync.Mutex
+	rows       map[string]platform.Row
+	down       bool
+	loseReply  int
+	loseCommit int
+	gets       int
+	commits    int
+	// before runs ahead of the next commit, outside mu.
+	before func()
+}
+
+func newTable() *table { return &table{rows: map[string]platform.Row{}} }
+
+// set changes the table's faults under its lock.
+func (t *table) set(change func(*table)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(t)
+}
+
+func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gets++
+	if t.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (t *table) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	var found []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, row)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found[:min(limit, len(found))], nil
+}
+
+func (t *table) Commit(_ context.Context, txn platform.Txn) error {
+	t.runBefore()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	if t.down {
+		return platform.ErrUnavailable
+	}
+	if t.loseCommit > 0 {
+		t.loseCommit--
+		return platform.ErrUnavailable
+	}
+	for _, check := range txn.Checks {
+		if t.rows[check.Key].Version != check.Version {
+			return platform.ErrConflict
+		}
+	}
+	for _, write := range txn.Writes {
+		t.write(write)
+	}
+	if t.loseReply > 0 {
+		t.loseReply--
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (t *table) runBefore() {
+	t.mu.Lock()
+	before := t.before
+	t.before = nil
+	t.mu.Unlock()
+	if before != nil {
+		before()
+	}
+}
+
+func (t *table) write(w platform.Write) {
+	if w.Delete {
+		delete(t.rows, w.Key)
+		return
+	}
+	t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+}
