--- /dev/null
+++ b/process/http.go
@@ -0,0 +1,58 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// headerTimeout bounds the time in which a client sends its request's header.
+const headerTimeout = 5 * time.Second
+
+// ServeHTTP serves on the listener until the process stops. On drain the
+// server takes no new connections and lets every request finish.
+func (p *Process) ServeHTTP(listener net.Listener, server *http.Server) {
+	p.OnDrain(func(ctx context.Context) { _ = server.Shutdown(ctx) })
+	p.group.Serve(func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return eris.Wrap(err, "serving HTTP")
+	})
+}
+
+// AdminServer returns the server of the process's own pages: /readyz for the
+// balancer, /healthz, /debug/vars for metrics and PUT /debug/level?level= for
+// the log level.
+func (p *Process) AdminServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", p.readyz)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("PUT /debug/level", p.setLevel)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (p *Process) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !p.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Process) setLevel(w http.ResponseWriter, r *http.Request) {
+	if err := p.log.SetLevel(r.URL.Query().Get("level")); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
