--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,12 +4,17 @@
 // the tag `ini`. Bounds stand in the tag `validate` (package validator). Values
 // that are set before loading are the defaults.
 //
+// A field of type []T with the tag `ini:"name.*"` takes every section whose name
+// starts with "name."; the rest of the name goes into T's field with the tag
+// `ini:"*"`.
+//
 // An unknown section, an unknown key or a bad value is an *Error with file,
 // line, what was found and what is allowed.
 package settings
 
 import (
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -42,7 +47,7 @@
 	if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
 		return nil
 	}
-	field := fieldByTag(l.target, section.Name())
+	field := l.sectionField(section.Name())
 	if !field.IsValid() {
 		return l.fail(section.Name(), "", "section "+section.Name(), "sections "+tagList(l.target))
 	}
@@ -54,6 +59,23 @@
 	return nil
 }
 
+// sectionField returns the struct that takes the section: a field of its name,
+// or a new element of the repeated section that its name starts with.
+func (l loader) sectionField(name string) reflect.Value {
+	if field := fieldByTag(l.target, name); field.IsValid() {
+		return field
+	}
+	prefix, rest, found := strings.Cut(name, ".")
+	list := fieldByTag(l.target, prefix+".*")
+	if !found || !list.IsValid() {
+		return reflect.Value{}
+	}
+	list.Set(reflect.Append(list, reflect.Zero(list.Type().Elem())))
+	element := list.Index(list.Len() - 1)
+	fieldByTag(element, "*").SetString(rest)
+	return element
+}
+
 // key maps one key on its own, so that a bad value is known by its key.
 func (l loader) key(section string, into reflect.Value, key *ini.Key) error {
 	field := fieldByTag(into, key.Name())
@@ -80,9 +102,24 @@
 		return eris.Wrapf(err, "settings %s", l.file)
 	}
 	first := problems[0]
-	path := strings.Split(first.Namespace(), ".")
-	section, key := path[len(path)-2], path[len(path)-1]
-	return l.fail(section, key, quoteValue(first.Value()), allowed(first))
+	return l.fail(l.sectionOf(first), first.Field(), quoteValue(first.Value()), allowed(first))
+}
+
+// sectionOf returns the section of a failed check. The validator names it by
+// tag and, in a repeated section, by index.
+func (l loader) sectionOf(problem validator.FieldError) string {
+	path := strings.TrimSuffix(problem.Namespace(), "."+problem.Field())
+	_, section, _ := strings.Cut(path, ".")
+	prefix, index, repeated := strings.Cut(strings.TrimSuffix(section, "]"), ".*[")
+	if !repeated {
+		return section
+	}
+	i, err := strconv.Atoi(index)
+	if err != nil {
+		return section
+	}
+	element := fieldByTag(l.target, prefix+".*").Index(i)
+	return prefix + "." + fieldByTag(element, "*").String()
 }
 
 func (l loader) fail(section, key, found, allowed string) error {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -18,8 +18,14 @@
 	Peers   []string      `ini:"peers"`
 }
 
+type teamSettings struct {
+	Name  string `ini:"*"`
+	Share int    `ini:"share" validate:"min=1"`
+}
+
 type daemonSettings struct {
 	Server serverSettings `ini:"server"`
+	Teams  []teamSettings `ini:"team.*" validate:"dive"`
 }
 
 func load(text string) (daemonSettings, error) {
@@ -38,6 +44,12 @@
 			Listen: "127.0.0.1:80", Workers: 4, Timeout: 250 * time.Millisecond, Peers: []string{"a", "b"},
 		}))
 	})
+
+	It("reads repeated sections by the rest of their names", func() {
+		s, err := load("[server]\nlisten = h:1\n[team.a]\nshare = 2\n[team.b.c]\nshare = 3\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Teams).To(Equal([]teamSettings{{Name: "a", Share: 2}, {Name: "b.c", Share: 3}}))
+	})
 })
 
 var _ = DescribeTable("Load rejects",
@@ -55,5 +67,6 @@
 	Entry("a value of the wrong type", "[server]\nlisten = h:1\nworkers = many\n", 3, "many", "type int"),
 	Entry("a value out of range", "[server]\nlisten = h:1\nworkers = 65\n", 3, "65", "at most 64"),
 	Entry("a bad address", "[server]\nworkers = 2\nlisten = nowhere\n", 3, "nowhere", "host:port"),
+	Entry("a value out of range in a repeated section", "[server]\nlisten = h:1\n[team.a]\nshare = 0\n", 4, "0", "at least 1"),
 	Entry("a key outside all sections", "workers = 2\n", 0, "section DEFAULT", "sections server"),
 )
