Add stand-ins for the platform and endpoints, with HTTP adapters

Cause: the roles need a table, an object store, an instance list and endpoints to be tested against, in the process and by HTTP.

--- /dev/null
+++ b/standin/admin.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+// Paths of the records and controls.
+const (
+	// RecordsPath gives the records as JSON lines.
+	RecordsPath = "/records"
+	// StatsPath gives the table's counters.
+	StatsPath = "/stats"
+	// AdminPath takes TableFaults at table, ObjectFaults at objects and
+	// EndpointEvent at endpoints, each by POST.
+	AdminPath = "/admin/"
+)
+
+// EndpointEvent lets an event happen to endpoints.
+type EndpointEvent struct {
+	// Event is the event.
+	Event Event `json:"event"`
+	// Domain limits it to one failure domain when no endpoint is named.
+	Domain model.DomainName `json:"domain,omitempty"`
+	// Endpoints names the endpoints; none stands for all of the domain.
+	Endpoints []model.EndpointID `json:"endpoints,omitempty"`
+}
+
+func (s *Server) routeAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+RecordsPath, s.records)
+	if s.Table != nil {
+		mux.HandleFunc("GET "+StatsPath, s.stats)
+		mux.HandleFunc("POST "+AdminPath+"table", s.tableFaults)
+	}
+	if s.Objects != nil {
+		mux.HandleFunc("POST "+AdminPath+"objects", s.objectFaults)
+	}
+	if s.Fleet != nil {
+		mux.HandleFunc("POST "+AdminPath+"endpoints", s.endpointEvent)
+	}
+}
+
+// records writes the records of all stand-ins of this server.
+func (s *Server) records(w http.ResponseWriter, r *http.Request) {
+	var all []Record
+	if s.Table != nil {
+		records, err := s.Table.Records(r.Context())
+		if err != nil {
+			reply(w, http.StatusServiceUnavailable, nil, err)
+			return
+		}
+		all = append(all, records...)
+	}
+	if s.Fleet != nil {
+		records, err := s.Fleet.Records(r.Context())
+		if err != nil {
+			reply(w, http.StatusServiceUnavailable, nil, err)
+			return
+		}
+		all = append(all, records...)
+	}
+	lines := json.NewEncoder(w)
+	for _, record := range all {
+		if lines.Encode(record) != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) stats(w http.ResponseWriter, r *http.Request) {
+	stats, err := s.Table.Stats(r.Context())
+	reply(w, adminStatus(err), stats, err)
+}
+
+func (s *Server) tableFaults(w http.ResponseWriter, r *http.Request) {
+	var faults TableFaults
+	if !read(w, r, &faults) {
+		return
+	}
+	err := s.Table.SetFaults(r.Context(), faults)
+	reply(w, adminStatus(err), struct{}{}, err)
+}
+
+func (s *Server) objectFaults(w http.ResponseWriter, r *http.Request) {
+	var faults ObjectFaults
+	if !read(w, r, &faults) {
+		return
+	}
+	err := s.Objects.SetFaults(r.Context(), faults)
+	reply(w, adminStatus(err), struct{}{}, err)
+}
+
+func (s *Server) endpointEvent(w http.ResponseWriter, r *http.Request) {
+	var event EndpointEvent
+	if !read(w, r, &event) {
+		return
+	}
+	err := s.Fleet.Do(r.Context(), event.Event, event.Domain, event.Endpoints...)
+	reply(w, adminStatus(err), struct{}{}, err)
+}
+
+func adminStatus(err error) int {
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	return http.StatusOK
+}
--- /dev/null
+++ b/standin/objects.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/platform"
+)
+
+// ObjectFaults are the faults of an object store as last set.
+type ObjectFaults struct {
+	// Outage makes every call fail without effect.
+	Outage bool `json:"outage,omitempty"`
+	// DelayMS is added to every call, in milliseconds.
+	DelayMS int64 `json:"delay_ms,omitempty"`
+}
+
+// ObjectStore is an object store in memory.
+type ObjectStore struct{ duty *duty.Duty[objectMessage] }
+
+// objectMessage is one call on the store's state.
+type objectMessage interface{ apply(*objectState) }
+
+type objectReply struct {
+	content []byte
+	err     error
+	delay   time.Duration
+}
+
+// objectState belongs to the store's duty.
+type objectState struct {
+	faults  ObjectFaults
+	objects map[string][]byte
+}
+
+type (
+	objectGet struct {
+		name  string
+		reply chan<- objectReply
+	}
+	objectPut struct {
+		name    string
+		content []byte
+		reply   chan<- objectReply
+	}
+	objectDelete struct {
+		name  string
+		reply chan<- objectReply
+	}
+	objectFaults struct {
+		faults ObjectFaults
+		reply  chan<- objectReply
+	}
+)
+
+// NewObjectStore returns an empty store. Its duty has to be started.
+func NewObjectStore() *ObjectStore {
+	state := &objectState{objects: map[string][]byte{}}
+	handle := func(batch []objectMessage) time.Duration {
+		for _, m := range batch {
+			m.apply(state)
+		}
+		return duty.Never
+	}
+	return &ObjectStore{duty: duty.New("objects", ringCapacity, duty.HandlerFunc[objectMessage](handle))}
+}
+
+// Duty returns the store's duty, for a Group.
+func (s *ObjectStore) Duty() duty.Runner { return s.duty }
+
+// Client returns the store as its callers see it.
+func (s *ObjectStore) Client() platform.ObjectStore { return objectClient{s} }
+
+// SetFaults replaces the faults in force.
+func (s *ObjectStore) SetFaults(ctx context.Context, faults ObjectFaults) error {
+	reply := make(chan objectReply, 1)
+	_, ok := ask[objectMessage](ctx, s.duty, objectFaults{faults, reply}, reply)
+	return answered(ok)
+}
+
+func (m objectGet) apply(s *objectState) {
+	content, found := s.objects[m.name]
+	r := s.admit()
+	if r.err == nil && !found {
+		r.err = eris.Wrap(platform.ErrNotFound, m.name)
+	}
+	if r.err == nil {
+		r.content = content
+	}
+	m.reply <- r
+}
+
+func (m objectPut) apply(s *objectState) {
+	r := s.admit()
+	if r.err == nil {
+		s.objects[m.name] = m.content
+	}
+	m.reply <- r
+}
+
+func (m objectDelete) apply(s *objectState) {
+	r := s.admit()
+	if r.err == nil {
+		delete(s.objects, m.name)
+	}
+	m.reply <- r
+}
+
+func (m objectFaults) apply(s *objectState) {
+	s.faults = m.faults
+	m.reply <- objectReply{}
+}
+
+func (s *objectState) admit() objectReply {
+	r := objectReply{delay: millis(s.faults.DelayMS)}
+	if s.faults.Outage {
+		r.err = eris.Wrap(platform.ErrUnavailable, "outage")
+	}
+	return r
+}
+
+// objectClient is the store seen by its callers.
+type objectClient struct{ store *ObjectStore }
+
+// Put implements platform.ObjectStore.
+func (c objectClient) Put(ctx context.Context, name string, content []byte) error {
+	reply := make(chan objectReply, 1)
+	_, err := c.call(ctx, objectPut{name, slices.Clone(content), reply}, reply)
+	return err
+}
+
+// Get implements platform.ObjectStore.
+func (c objectClient) Get(ctx context.Context, name string) ([]byte, error) {
+	reply := make(chan objectReply, 1)
+	r, err := c.call(ctx, objectGet{name, reply}, reply)
+	return slices.Clone(r.content), err
+}
+
+// Delete implements platform.ObjectStore.
+func (c objectClient) Delete(ctx context.Context, name string) error {
+	reply := make(chan objectReply, 1)
+	_, err := c.call(ctx, objectDelete{name, reply}, reply)
+	return err
+}
+
+func (c objectClient) call(ctx context.Context, m objectMessage, reply chan objectReply) (objectReply, error) {
+	r, ok := ask(ctx, c.store.duty, m, reply)
+	if !ok || !pause(ctx, r.delay) {
+		return objectReply{}, answered(false)
+	}
+	return r, r.err
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/endpoint"
+	"github.com/hornbeamworks/hornbeam/endpoint/httpendpoint"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
+)
+
+// maxBodyBytes bounds what is read of one request.
+const maxBodyBytes = 64 << 20
+
+// Server serves stand-ins by HTTP: the platform's services at the paths of
+// httpplatform, the endpoints at those of httpendpoint, and the records and
+// controls of tests (see AdminPath). A stand-in that is nil is not served.
+type Server struct {
+	// Table is the table.
+	Table *Table
+	// Objects is the object store.
+	Objects *ObjectStore
+	// Fleet is the endpoints and the instance list.
+	Fleet *Fleet
+}
+
+// Handler returns the server's routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	if s.Table != nil {
+		s.routeTable(mux)
+	}
+	if s.Objects != nil {
+		s.routeObjects(mux)
+	}
+	if s.Fleet != nil {
+		mux.HandleFunc("GET "+httpplatform.InstancesPath, s.instances)
+		mux.HandleFunc("POST /endpoints/{id}/sync", s.sync)
+	}
+	s.routeAdmin(mux)
+	return mux
+}
+
+func (s *Server) routeTable(mux *http.ServeMux) {
+	table := s.Table.Client()
+	mux.HandleFunc("POST "+httpplatform.GetPath, func(w http.ResponseWriter, r *http.Request) {
+		var request httpplatform.GetRequest
+		if !read(w, r, &request) {
+			return
+		}
+		row, err := table.Get(r.Context(), request.Key)
+		reply(w, httpplatform.Status(err), row, err)
+	})
+	mux.HandleFunc("POST "+httpplatform.ListPath, func(w http.ResponseWriter, r *http.Request) {
+		var request httpplatform.ListRequest
+		if !read(w, r, &request) {
+			return
+		}
+		rows, err := table.List(r.Context(), request.Prefix, request.After, request.Limit)
+		reply(w, httpplatform.Status(err), httpplatform.ListReply{Rows: rows}, err)
+	})
+	mux.HandleFunc("POST "+httpplatform.CommitPath, func(w http.ResponseWriter, r *http.Request) {
+		var txn platform.Txn
+		if !read(w, r, &txn) {
+			return
+		}
+		err := table.Commit(r.Context(), txn)
+		reply(w, httpplatform.Status(err), struct{}{}, err)
+	})
+}
+
+func (s *Server) routeObjects(mux *http.ServeMux) {
+	objects := s.Objects.Client()
+	path := httpplatform.ObjectsPath + "{name}"
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+		content, err := objects.Get(r.Context(), r.PathValue("name"))
+		if err != nil {
+			reply(w, httpplatform.Status(err), nil, err)
+			return
+		}
+		_, _ = w.Write(content)
+	})
+	mux.HandleFunc("PUT "+path, func(w http.ResponseWriter, r *http.Request) {
+		content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			reply(w, http.StatusBadRequest, nil, err)
+			return
+		}
+		err = objects.Put(r.Context(), r.PathValue("name"), content)
+		reply(w, httpplatform.Status(err), struct{}{}, err)
+	})
+	mux.HandleFunc("DELETE "+path, func(w http.ResponseWriter, r *http.Request) {
+		err := objects.Delete(r.Context(), r.PathValue("name"))
+		reply(w, httpplatform.Status(err), struct{}{}, err)
+	})
+}
+
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	domain := model.DomainName(r.URL.Query().Get(httpplatform.DomainParameter))
+	infos, err := s.Fleet.List().Endpoints(r.Context(), domain)
+	reply(w, httpplatform.Status(err), httpplatform.InstancesReply{Endpoints: infos}, err)
+}
+
+func (s *Server) sync(w http.ResponseWriter, r *http.Request) {
+	var request endpoint.SyncRequest
+	if !read(w, r, &request) {
+		return
+	}
+	info := model.EndpointInfo{ID: model.EndpointID(r.PathValue("id"))}
+	answer, err := s.Fleet.Client().Sync(r.Context(), info, request)
+	reply(w, httpendpoint.Status(err), answer, err)
+}
+
+// read decodes the body of r. It replies and returns false when it can't.
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into)
+	if err != nil {
+		reply(w, http.StatusBadRequest, nil, err)
+		return false
+	}
+	return true
+}
+
+// reply writes body as JSON, or the error's text. A lost reply is lost for
+// HTTP too: the connection is cut.
+func reply(w http.ResponseWriter, status int, body any, err error) {
+	if eris.Is(err, errReplyLost) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		http.Error(w, strings.TrimSpace(err.Error()), status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that is gone does not need its reply.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/platform"
+)
+
+// TableOptions are the properties of a table; zero values mean no limit, no
+// delay and the machine's clock.
+type TableOptions struct {
+	// Latency is added to every call.
+	Latency time.Duration
+	// WritesPerSecond is the rate of commits that the table carries. Faster
+	// ones wait for their turn.
+	WritesPerSecond int
+	// ReadsPerSecond is the same for reads.
+	ReadsPerSecond int
+	// Recorded is the prefix of the keys whose writes go on the record.
+	Recorded string
+	// Clock tells the time of the record.
+	Clock clock.Clock
+}
+
+// TableFaults are the faults of a table as last set.
+type TableFaults struct {
+	// Outage makes every call fail without effect.
+	Outage bool `json:"outage,omitempty"`
+	// LoseReplies is the number of commits from now on that take effect and
+	// whose reply is lost; a negative number stands for all.
+	LoseReplies int `json:"lose_replies,omitempty"`
+	// DelayMS is added to the latency, in milliseconds.
+	DelayMS int64 `json:"delay_ms,omitempty"`
+}
+
+// TableStats counts a table's calls.
+type TableStats struct {
+	// Reads counts Get and List.
+	Reads int64 `json:"reads"`
+	// Writes counts commits that took effect.
+	Writes int64 `json:"writes"`
+	// Conflicts counts commits whose checks failed.
+	Conflicts int64 `json:"conflicts"`
+	// Refused counts calls that met an outage or too long a queue.
+	Refused int64 `json:"refused"`
+	// LostReplies counts commits whose reply was lost.
+	LostReplies int64 `json:"lost_replies"`
+	// Rows is the number of rows.
+	Rows int `json:"rows"`
+	// Bytes is the size of the values.
+	Bytes int64 `json:"bytes"`
+}
+
+// Table is a linearizable transactional table in memory: one duty carries out
+// one call after the other.
+type Table struct{ duty *duty.Duty[tableMessage] }
+
+// NewTable returns an empty table. Its duty has to be started.
+func NewTable(options TableOptions) *Table {
+	if options.Clock == nil {
+		options.Clock = clock.System{}
+	}
+	state := newTableState(options)
+	handle := func(batch []tableMessage) time.Duration {
+		for _, m := range batch {
+			m.apply(state)
+		}
+		return duty.Never
+	}
+	return &Table{duty: duty.New("table", ringCapacity, duty.HandlerFunc[tableMessage](handle))}
+}
+
+// Duty returns the table's duty, for a Group.
+func (t *Table) Duty() duty.Runner { return t.duty }
+
+// Client returns the table as its callers see it.
+func (t *Table) Client() platform.Table { return tableClient{t} }
+
+// SetFaults replaces the faults in force.
+func (t *Table) SetFaults(ctx context.Context, faults TableFaults) error {
+	reply := make(chan struct{}, 1)
+	_, ok := ask[tableMessage](ctx, t.duty, faultsMessage{faults, reply}, reply)
+	return answered(ok)
+}
+
+// Stats returns the counters.
+func (t *Table) Stats(ctx context.Context) (TableStats, error) {
+	reply := make(chan TableStats, 1)
+	stats, ok := ask[tableMessage](ctx, t.duty, statsMessage{reply}, reply)
+	return stats, answered(ok)
+}
+
+// Records returns the writes on record so far, oldest first.
+func (t *Table) Records(ctx context.Context) ([]Record, error) {
+	reply := make(chan []Record, 1)
+	records, ok := ask[tableMessage](ctx, t.duty, tableRecordsMessage{reply}, reply)
+	return records, answered(ok)
+}
+
+func answered(ok bool) error {
+	if !ok {
+		return eris.Wrap(platform.ErrUnavailable, "stand-in gave no answer")
+	}
+	return nil
+}
+
+// tableClient is the table seen by its callers, faults included.
+type tableClient struct{ table *Table }
+
+// Get implements platform.Table.
+func (c tableClient) Get(ctx context.Context, key string) (platform.Row, error) {
+	reply := make(chan tableReply, 1)
+	r, err := c.call(ctx, getMessage{key, reply}, reply)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return r.rows[0], nil
+}
+
+// List implements platform.Table.
+func (c tableClient) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	reply := make(chan tableReply, 1)
+	r, err := c.call(ctx, listMessage{prefix, after, limit, reply}, reply)
+	return r.rows, err
+}
+
+// Commit implements platform.Table.
+func (c tableClient) Commit(ctx context.Context, txn platform.Txn) error {
+	reply := make(chan tableReply, 1)
+	_, err := c.call(ctx, commitMessage{txn, reply}, reply)
+	return err
+}
+
+func (c tableClient) call(ctx context.Context, m tableMessage, reply chan tableReply) (tableReply, error) {
+	r, ok := ask(ctx, c.table.duty, m, reply)
+	if !ok || !pause(ctx, r.delay) {
+		return tableReply{}, answered(false)
+	}
+	return r, r.err
+}
