--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -73,6 +73,9 @@
 	// that it runs and all finished attempts that nobody has acknowledged, and
 	// until it is adopted it starts nothing under this epoch.
 	Adopt bool `json:"adopt,omitempty"`
+	// Report asks for all that runs, with usage. Holders ask every few seconds
+	// and send shorter Syncs in between.
+	Report bool `json:"report,omitempty"`
 	// Lease is how long tasks may run without another Sync.
 	Lease time.Duration `json:"lease_ns"`
 	// Starts are the attempts to be started.
@@ -100,7 +103,7 @@
 	// Results answers the Starts, in their order.
 	Results []StartResult `json:"results,omitempty"`
 	// Running is all that runs, with usage as last sampled. It is complete in
-	// every reply.
+	// the reply to Adopt or Report and empty in every other.
 	Running []model.Running `json:"running,omitempty"`
 	// Finished are the attempts that have ended and are not acknowledged.
 	Finished []model.Finished `json:"finished,omitempty"`
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -45,8 +45,9 @@
 	Usage Resources `json:"usage"`
 	// Elapsed is how long the attempt has been running.
 	Elapsed time.Duration `json:"elapsed_ns"`
-	// Request is the request as the start command carried it.
-	Request Request `json:"request"`
+	// Request is the request as the start command carried it. Only the reply
+	// to an adoption has it; a holder knows the requests that it started.
+	Request *Request `json:"request,omitempty"`
 }
 
 // Finished is an attempt that has ended on an endpoint.
@@ -61,6 +62,7 @@
 	Elapsed time.Duration `json:"elapsed_ns"`
 	// Peak is the most that the task used.
 	Peak Resources `json:"peak"`
-	// Request is the request as the start command carried it.
-	Request Request `json:"request"`
+	// Request is the request as the start command carried it. Only the reply
+	// to an adoption has it; a holder knows the requests that it started.
+	Request *Request `json:"request,omitempty"`
 }
--- a/standin/attempt.go
+++ b/standin/attempt.go
@@ -110,18 +110,26 @@
 	return used
 }
 
-// report describes the running attempt.
-func (a *attempt) report(now time.Time, lag time.Duration) model.Running {
+// report describes the running attempt, with its request for an adoption.
+func (a *attempt) report(now time.Time, lag time.Duration, adoption bool) model.Running {
 	return model.Running{
 		Attempt: a.id, Size: a.size, Usage: a.sampled(now, lag),
-		Elapsed: now.Sub(a.started), Request: a.request,
+		Elapsed: now.Sub(a.started), Request: a.carried(adoption),
 	}
 }
 
-// result describes the ended attempt.
-func (a *attempt) result() model.Finished {
+// result describes the ended attempt, with its request for an adoption.
+func (a *attempt) result(adoption bool) model.Finished {
 	return model.Finished{
 		Attempt: a.id, Outcome: a.outcome(), Output: a.output(),
-		Elapsed: a.ended.Sub(a.started), Peak: a.usage, Request: a.request,
+		Elapsed: a.ended.Sub(a.started), Peak: a.usage, Request: a.carried(adoption),
 	}
 }
+
+// carried returns the request for an adoption and nothing otherwise.
+func (a *attempt) carried(adoption bool) *model.Request {
+	if !adoption {
+		return nil
+	}
+	return &a.request
+}
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -27,6 +27,7 @@
 func (b *bench) sync(ctx context.Context, request endpoint.SyncRequest) (endpoint.SyncReply, error) {
 	request.Shard = model.ShardID{Domain: "a"}
 	request.Lease = lease
+	request.Report = true
 	return b.remoteEndpoint.Sync(ctx, b.info, request)
 }
 
@@ -54,6 +55,7 @@
 		reply := b.adopted(ctx, start)
 		Expect(reply.Results).To(Equal([]endpoint.StartResult{{Attempt: start.Attempt, Started: true}}))
 		Expect(reply.Running).To(HaveLen(1))
+		Expect(reply.Running[0].Request).To(Equal(&start.Request))
 		b.clock.Advance(time.Second)
 		for range 2 {
 			reply, err := b.sync(ctx, endpoint.SyncRequest{Epoch: 1})
--- a/standin/host.go
+++ b/standin/host.go
@@ -112,7 +112,7 @@
 	for _, id := range request.Acknowledged {
 		h.acknowledge(id)
 	}
-	h.news(&reply)
+	h.news(request, &reply)
 	return reply, nil
 }
 
@@ -242,15 +242,19 @@
 	return nil
 }
 
-// news reports all that runs and all that has ended.
-func (h *host) news(reply *endpoint.SyncReply) {
+// news reports all that has ended and, when asked for, all that runs. The
+// requests themselves go only to a holder that adopts.
+func (h *host) news(request endpoint.SyncRequest, reply *endpoint.SyncReply) {
 	for _, a := range h.attempts {
-		if a.running() {
-			reply.Running = append(reply.Running, a.report(h.now, h.fleet.options.UsageLag))
-			h.wakeBy(a.next())
+		if !a.running() {
+			reply.Finished = append(reply.Finished, a.result(request.Adopt))
 			continue
 		}
-		reply.Finished = append(reply.Finished, a.result())
+		h.wakeBy(a.next())
+		if request.Adopt || request.Report {
+			running := a.report(h.now, h.fleet.options.UsageLag, request.Adopt)
+			reply.Running = append(reply.Running, running)
+		}
 	}
 }
 
