Add the independent checker of a run

Cause: what the system claims of itself proves nothing.

Change: package audit judges a run by the stand-ins' records and the callers' answers alone; each of its fourteen rules has a case that breaks it.

--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,249 @@
+package audit_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/audit"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/standin"
+)
+
+var (
+	begin    = time.Unix(1_700_000_000, 0).UTC()
+	slot     = model.Resources{1000, 1024, 0, 1, 1}
+	capacity = slot.Scale(2)
+)
+
+const requestID = model.RequestID("0-1-a")
+
+// at returns the time the given seconds into the run.
+func at(seconds float64) time.Time {
+	return begin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// run is a run without fault: one request of two tasks, answered whole.
+func run() audit.Input {
+	config := model.Config{
+		Version: 1,
+		Classes: []model.Class{{Name: "batch", Repeatable: true}, {Name: "settlement"}},
+		Teams:   []model.Team{{Name: "t", Limit: slot.Scale(2)}},
+		Keys:    []model.Key{{ID: "k", Team: "t", Hash: "h"}},
+		Domains: []model.Domain{{Name: "a", Shards: 1}},
+	}
+	in := audit.Input{Options: audit.DefaultOptions()}
+	in.Records = []standin.Record{
+		{Time: at(0), Kind: standin.Added, Endpoint: "a1", Domain: "a", Rack: "r", Size: capacity},
+		{Time: at(0), Kind: standin.Added, Endpoint: "a2", Domain: "a", Rack: "r", Size: capacity},
+		written(0, config),
+		{Time: at(1), Kind: standin.Adopted, Endpoint: "a1", Domain: "a", Epoch: 2},
+		started(2, "a1", 0, 1), started(2, "a1", 1, 1),
+		ended(3, "a1", 0, 1), ended(3, "a1", 1, 1),
+	}
+	in.Callers = []audit.CallerRecord{{
+		Sent: at(1), Answered: at(4), ID: requestID, Team: "t", KeyHash: "h", Key: "one",
+		Spec: model.Spec{Class: "batch", Tasks: 2, Size: slot}, Accepted: true,
+		Answers: []model.Answer{whole(), whole()},
+	}}
+	return in
+}
+
+func written(seconds float64, config model.Config) standin.Record {
+	raw, err := json.Marshal(config)
+	Expect(err).NotTo(HaveOccurred())
+	return standin.Record{Time: at(seconds), Kind: standin.Written, Key: "config/head", Value: raw}
+}
+
+// changed writes the configuration of run with a change.
+func changed(in *audit.Input, seconds float64, change func(*model.Config)) {
+	var config model.Config
+	Expect(json.Unmarshal(in.Records[2].Value, &config)).To(Succeed())
+	change(&config)
+	in.Records = append(in.Records, written(seconds, config))
+}
+
+func attempt(index, number int) model.AttemptID {
+	return model.AttemptID{Task: model.TaskID{Request: requestID, Index: index}, Number: number}
+}
+
+func started(seconds float64, id model.EndpointID, index, number int) standin.Record {
+	return standin.Record{
+		Time: at(seconds), Kind: standin.Started, Endpoint: id, Domain: "a", Epoch: 2,
+		Attempt: attempt(index, number), Team: "t", Class: "batch", Size: slot,
+	}
+}
+
+func ended(seconds float64, id model.EndpointID, index, number int) standin.Record {
+	r := started(seconds, id, index, number)
+	r.Kind, r.Outcome = standin.Ended, model.Succeeded
+	r.Output = standin.Output("", requestID, index)
+	return r
+}
+
+func whole() model.Answer {
+	return model.Answer{ID: requestID, Code: int(result.OK), Ran: model.DidRun, Parts: []model.Part{
+		{Index: 0, Output: standin.Output("", requestID, 0)},
+		{Index: 1, Output: standin.Output("", requestID, 1)},
+	}}
+}
+
+func refused(seconds float64, reason string) standin.Record {
+	return standin.Record{Time: at(seconds), Kind: standin.Refused, Endpoint: "a1", Epoch: 2, Reason: reason}
+}
+
+func leaving(seconds float64) standin.Record {
+	return standin.Record{Time: at(seconds), Kind: standin.Changed, Endpoint: "a1", State: "leaving"}
+}
+
+var _ = Describe("Check", func() {
+	It("finds nothing in a run without fault and says what it is based on", func() {
+		report := audit.Check(run())
+		Expect(report.Violations).To(BeEmpty())
+		Expect(report.Counts).To(Equal(audit.Counts{
+			Starts: 2, Ends: 2, Configs: 1, Requests: 1, Accepted: 1, Answered: 1,
+		}))
+	})
+
+	It("leaves promises their times", func() {
+		in := run()
+		changed(&in, 10, func(c *model.Config) {
+			c.Domains[0].Out = true
+			c.Teams[0].Limit = model.Resources{}
+			c.Keys = nil
+		})
+		in.Records = append(in.Records, started(14, "a1", 0, 2), leaving(14), refused(15, standin.ReasonLeaving))
+		in.Callers[0].Sent = at(14)
+		Expect(audit.Check(in).Violations).To(BeEmpty())
+	})
+
+	It("takes the resumption of a checkpointed run for the same run", func() {
+		in := run()
+		in.Records[4].Once = true
+		in.Records[6].Outcome = model.Checkpointed
+		again := started(4, "a2", 0, 2)
+		again.Once = true
+		in.Records = append(in.Records, again, ended(5, "a2", 0, 2))
+		Expect(audit.Check(in).Violations).To(BeEmpty())
+	})
+
+	It("reads what stand-ins and callers have written", func() {
+		in := run()
+		var records, callers bytes.Buffer
+		for _, r := range in.Records {
+			Expect(json.NewEncoder(&records).Encode(r)).To(Succeed())
+		}
+		for _, c := range in.Callers {
+			Expect(json.NewEncoder(&callers).Encode(c)).To(Succeed())
+		}
+		Expect(audit.ReadRecords(&records)).To(Equal(in.Records))
+		Expect(audit.ReadCallers(&callers)).To(Equal(in.Callers))
+		_, err := audit.ReadCallers(bytes.NewBufferString("{}\n{"))
+		Expect(err).To(MatchError(ContainSubstring("line 2")))
+	})
+})
+
+var _ = DescribeTable("Check catches",
+	func(rule audit.Rule, breakIt func(in *audit.Input)) {
+		in := run()
+		breakIt(&in)
+		report := audit.Check(in)
+		Expect(report.Of(rule)).NotTo(BeEmpty())
+		Expect(report.OK()).To(BeFalse())
+		Expect(report.Of(rule)).To(HaveLen(len(report.Violations)))
+	},
+	Entry("an endpoint committed beyond its capacity", audit.Capacity, func(in *audit.Input) {
+		in.Records[0].Size = slot
+	}),
+	Entry("an endpoint told to go beyond its capacity", audit.Capacity, func(in *audit.Input) {
+		in.Records = append(in.Records, refused(5, standin.ReasonCapacity))
+	}),
+	Entry("a task in two places", audit.OnePlace, func(in *audit.Input) {
+		in.Records[5] = started(2.5, "a2", 0, 2)
+		in.Records = append(in.Records, ended(2.6, "a2", 0, 2), started(4, "a1", 1, 1))
+	}),
+	Entry("a team beyond its limit", audit.TeamLimit, func(in *audit.Input) {
+		changed(in, 0, func(c *model.Config) { c.Teams[0].Limit = slot })
+		in.Records[2] = in.Records[len(in.Records)-1]
+	}),
+	Entry("a start beyond a limit lowered long ago", audit.TeamLimit, func(in *audit.Input) {
+		changed(in, 10, func(c *model.Config) { c.Teams[0].Limit = model.Resources{} })
+		in.Records = append(in.Records, started(21, "a1", 0, 2))
+	}),
+	Entry("a second run of a request that is not repeatable", audit.AtMostOnce, func(in *audit.Input) {
+		again := started(4, "a2", 0, 2)
+		again.Once = true
+		in.Records = append(in.Records, again)
+	}),
+	Entry("a second run of a class that is not repeatable", audit.AtMostOnce, func(in *audit.Input) {
+		again := started(4, "a2", 0, 2)
+		again.Class = "settlement"
+		in.Records = append(in.Records, again)
+	}),
+	Entry("one idempotency key that ran as two requests", audit.AtMostOnce, func(in *audit.Input) {
+		other := started(5, "a2", 0, 1)
+		other.Attempt.Task.Request = "0-2-a"
+		in.Records = append(in.Records, other)
+		in.Callers = append(in.Callers, audit.CallerRecord{Team: "t", Key: "one", ID: "0-2-a"})
+	}),
+	Entry("a start in a domain taken out", audit.OutOfService, func(in *audit.Input) {
+		changed(in, 4, func(c *model.Config) { c.Domains[0].Out = true })
+		in.Records = append(in.Records, started(10, "a1", 0, 2))
+	}),
+	Entry("a start in a rack taken out", audit.OutOfService, func(in *audit.Input) {
+		changed(in, 4, func(c *model.Config) { c.RacksOut = []model.RackRef{{Domain: "a", Rack: "r"}} })
+		in.Records = append(in.Records, started(10, "a1", 0, 2))
+	}),
+	Entry("a start on an endpoint taken out", audit.OutOfService, func(in *audit.Input) {
+		changed(in, 4, func(c *model.Config) { c.EndpointsOut = []model.EndpointID{"a1"} })
+		in.Records = append(in.Records, started(10, "a1", 0, 2))
+	}),
+	Entry("work given to a leaving endpoint", audit.Leaving, func(in *audit.Input) {
+		in.Records = append(in.Records, leaving(4), refused(7, standin.ReasonLeaving))
+	}),
+	Entry("a command of a lower epoch that was taken", audit.Fencing, func(in *audit.Input) {
+		in.Records = append(in.Records, standin.Record{Time: at(5), Kind: standin.Renewed, Endpoint: "a1", Epoch: 1})
+	}),
+	Entry("an accepted request without an answer", audit.Answered, func(in *audit.Input) {
+		in.Callers[0].Answers = nil
+	}),
+	Entry("two answers to one request", audit.OneAnswer, func(in *audit.Input) {
+		in.Callers[0].Answers[1].Code = int(result.TaskFailed)
+	}),
+	Entry("an answer that lacks a part", audit.WholeAnswer, func(in *audit.Input) {
+		short := whole()
+		short.Parts = short.Parts[:1]
+		in.Callers[0].Answers = []model.Answer{short}
+	}),
+	Entry("an answer whose parts are out of order", audit.WholeAnswer, func(in *audit.Input) {
+		swapped := whole()
+		swapped.Parts[0], swapped.Parts[1] = swapped.Parts[1], swapped.Parts[0]
+		in.Callers[0].Answers = []model.Answer{swapped}
+	}),
+	Entry("an output that no endpoint returned", audit.WholeAnswer, func(in *audit.Input) {
+		in.Records[7].Outcome = model.Failed
+	}),
+	Entry("another request's answer", audit.WholeAnswer, func(in *audit.Input) {
+		other := whole()
+		other.ID = "0-2-a"
+		in.Callers[0].Answers = []model.Answer{other}
+	}),
+	Entry("work that ran and is said not to have run", audit.TrueNotRun, func(in *audit.Input) {
+		in.Callers[0].Answers = []model.Answer{result.Answer(requestID, result.WindowPassed, "late")}
+	}),
+	Entry("work that did not run and is said to have run", audit.TrueRan, func(in *audit.Input) {
+		in.Callers[0].ID = "0-2-a"
+		in.Callers[0].Answers = []model.Answer{result.Answer("0-2-a", result.TaskFailed, "failed")}
+	}),
+	Entry("work run for another team", audit.OwnTeam, func(in *audit.Input) {
+		in.Callers[0].Team = "u"
+	}),
+	Entry("a withdrawn key that still works", audit.WithdrawnKey, func(in *audit.Input) {
+		changed(in, 10, func(c *model.Config) { c.Keys = nil })
+		in.Callers[0].Sent = at(16)
+	}),
+)
--- a/standin/fleetstate.go
+++ b/standin/fleetstate.go
@@ -69,7 +69,7 @@
 		h := newHost(f, info)
 		f.hosts[info.ID] = h
 		f.order = append(f.order, h)
-		h.record(options.Clock.Now(), Record{Kind: Added, Size: info.Capacity})
+		h.record(options.Clock.Now(), Record{Kind: Added, Rack: info.Rack, Size: info.Capacity})
 	}
 	f.listings = []listing{{infos: f.infos()}}
 	return f
--- a/standin/record.go
+++ b/standin/record.go
@@ -50,6 +50,8 @@
 	Endpoint model.EndpointID `json:"endpoint,omitempty"`
 	// Domain is the endpoint's failure domain.
 	Domain model.DomainName `json:"domain,omitempty"`
+	// Rack is the rack of an added endpoint.
+	Rack model.RackName `json:"rack,omitempty"`
 	// Shard is the shard that commands the endpoint.
 	Shard model.ShardID `json:"shard,omitzero"`
 	// Epoch is the fencing token of the command.
