--- /dev/null
+++ b/peerrpc/peerrpc_test.go
@@ -0,0 +1,117 @@
+package peerrpc_test
+
+import (
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/peerrpc"
+)
+
+// deadline is generous: it is reached only by a failure.
+const deadline = 30 * time.Second
+
+// Echo is the service of these tests.
+type Echo struct{ release chan struct{} }
+
+// Say returns what it is told.
+func (e *Echo) Say(word string, reply *string) error {
+	*reply = word
+	return nil
+}
+
+// Refuse returns an error of the service.
+func (e *Echo) Refuse(word string, _ *string) error { return eris.New("refused " + word) }
+
+// Hang answers once it is released.
+func (e *Echo) Hang(word string, reply *string) error {
+	<-e.release
+	*reply = word
+	return nil
+}
+
+// serving is a server that runs.
+type serving struct {
+	address string
+	echo    *Echo
+	stop    func()
+}
+
+func serve() serving {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	echo := &Echo{release: make(chan struct{})}
+	server := peerrpc.NewServer()
+	Expect(server.Register("Echo", echo)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	group := duty.NewGroup(ctx)
+	group.Serve(func(ctx context.Context) error { return server.Serve(ctx, listener, group.Serve) })
+	stop := func() {
+		cancel()
+		Expect(group.Wait()).To(Succeed())
+	}
+	return serving{address: listener.Addr().String(), echo: echo, stop: stop}
+}
+
+var _ = Describe("Client", func() {
+	It("calls, and hands back the peer's own errors as they are", func(ctx SpecContext) {
+		s := serve()
+		defer s.stop()
+		client := peerrpc.NewClient()
+		defer client.Close()
+		var reply string
+		Expect(client.Call(ctx, s.address, "Echo.Say", "word", &reply)).To(Succeed())
+		Expect(reply).To(Equal("word"))
+		err := client.Call(ctx, s.address, "Echo.Refuse", "word", &reply)
+		Expect(err).To(MatchError("refused word"))
+	}, SpecTimeout(deadline))
+
+	It("says not sent when nobody listens", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listener.Close()).To(Succeed())
+		var reply string
+		err = peerrpc.NewClient().Call(ctx, listener.Addr().String(), "Echo.Say", "word", &reply)
+		Expect(eris.Is(err, peerrpc.ErrNotSent)).To(BeTrue())
+	}, SpecTimeout(deadline))
+
+	It("says no reply when the peer hangs or dies with the call", func(ctx SpecContext) {
+		s := serve()
+		defer s.stop()
+		defer close(s.echo.release)
+		client := peerrpc.NewClient()
+		var reply string
+		short, cancel := context.WithTimeout(ctx, time.Millisecond)
+		defer cancel()
+		err := client.Call(short, s.address, "Echo.Hang", "word", &reply)
+		Expect(eris.Is(err, peerrpc.ErrNoReply)).To(BeTrue())
+
+		result := make(chan error, 1)
+		go func() { result <- client.Call(ctx, s.address, "Echo.Hang", "word", new(string)) }()
+		// The second call shares the connection, so Say's reply shows that the
+		// call of Hang has been sent or fails with it: either way it got none.
+		Expect(client.Call(ctx, s.address, "Echo.Say", "word", &reply)).To(Succeed())
+		client.Close()
+		Eventually(result).WithTimeout(deadline).Should(Receive(Not(BeNil())))
+	}, SpecTimeout(deadline))
+
+	It("connects again after the peer has come back", func(ctx SpecContext) {
+		s := serve()
+		client := peerrpc.NewClient()
+		defer client.Close()
+		var reply string
+		Expect(client.Call(ctx, s.address, "Echo.Say", "one", &reply)).To(Succeed())
+		s.stop()
+		Eventually(func() error {
+			return client.Call(ctx, s.address, "Echo.Say", "two", new(string))
+		}).WithTimeout(deadline).ShouldNot(Succeed())
+		again := serve()
+		defer again.stop()
+		Expect(client.Call(ctx, again.address, "Echo.Say", "three", &reply)).To(Succeed())
+	}, SpecTimeout(deadline))
+})
