Decide who runs next and where

What the holder of a shard must know: - A cancelled request ends when its attempts have ended (Finish or Reject), at the latest at its deadline. Its attempts are halted by the next plan. - A service goes on after its deadline once all its tasks were confirmed; it ends when it is cancelled. - Without SetPart nothing of a team starts. - A Halt that is not Refuse is followed by a new attempt after Finish.

--- /dev/null
+++ b/policy/cell/config.go
@@ -0,0 +1,148 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/policy/work"
+)
+
+// refreshPeriod is how often past use is decayed and the order renewed.
+const refreshPeriod = time.Second
+
+// SetConfig takes a configuration in force. It ignores older versions.
+func (c *Cell) SetConfig(now time.Time, config *model.Config) {
+	if config.Version < c.config.Version {
+		return
+	}
+	c.now, c.config = now, config
+	for _, team := range c.teamOrder {
+		team.Known = false
+	}
+	for _, t := range config.Teams {
+		team := c.team(t.Name)
+		team.Known, team.Limit = true, t.Limit
+	}
+	c.entitle()
+	for _, n := range c.nodeOrder {
+		c.reviewNode(n)
+	}
+	c.prune()
+	c.estimates++
+	c.renewOrder()
+	c.unblockAll()
+}
+
+// entitle shares the cell among the teams by their shares.
+func (c *Cell) entitle() {
+	sum := int64(0)
+	for _, t := range c.config.Teams {
+		sum += t.Share
+	}
+	for _, t := range c.config.Teams {
+		share := 1 / float64(len(c.config.Teams))
+		if sum > 0 {
+			share = float64(t.Share) / float64(sum)
+		}
+		c.teams[t.Name].Account.Entitle(share)
+	}
+}
+
+// prune forgets queues without jobs whose class or team is gone.
+func (c *Cell) prune() {
+	c.queueOrder = slices.DeleteFunc(c.queueOrder, func(q *work.Queue) bool {
+		_, known := c.config.Class(q.Class)
+		if q.Open > 0 || known && q.Team.Known {
+			return false
+		}
+		q.Team.Queues = slices.DeleteFunc(q.Team.Queues, func(other *work.Queue) bool { return other == q })
+		delete(c.queues, queueName{class: q.Class, team: q.Team.Name})
+		return true
+	})
+	c.teamOrder = slices.DeleteFunc(c.teamOrder, func(t *work.Team) bool {
+		if t.Known || len(t.Queues) > 0 {
+			return false
+		}
+		delete(c.teams, t.Name)
+		return true
+	})
+}
+
+// SetPart sets the part of the team's limit that this scheduler holds.
+func (c *Cell) SetPart(name model.TeamName, part model.Resources) {
+	team := c.team(name)
+	team.Part = part
+	c.unblockTeam(team)
+}
+
+// team returns the team, which is made when it is new.
+func (c *Cell) team(name model.TeamName) *work.Team {
+	team := c.teams[name]
+	if team == nil {
+		team = &work.Team{Name: name}
+		c.teams[name] = team
+		c.teamOrder = append(c.teamOrder, team)
+	}
+	return team
+}
+
+// queue returns the queue of the class and team, which is made when it is new.
+func (c *Cell) queue(class model.Class, team *work.Team) *work.Queue {
+	name := queueName{class: class.Name, team: team.Name}
+	q := c.queues[name]
+	if q == nil {
+		q = work.NewQueue(class.Name, team, work.Tier(class.MaxWait))
+		c.queues[name] = q
+		c.queueOrder = append(c.queueOrder, q)
+		team.Queues = append(team.Queues, q)
+	}
+	return q
+}
+
+// refresh decays past use and renews the order once each period.
+func (c *Cell) refresh() {
+	if c.now.Sub(c.refreshed) < refreshPeriod {
+		return
+	}
+	c.refreshed = c.now
+	for _, team := range c.teamOrder {
+		team.Account.Decay(c.now, c.settings.HalfLife)
+	}
+	c.renewOrder()
+}
+
+// renewOrder gives every queue its key anew.
+func (c *Cell) renewOrder() {
+	for _, team := range c.teamOrder {
+		c.used(team)
+	}
+}
+
+// used takes the team's use into account and moves its queues.
+func (c *Cell) used(team *work.Team) {
+	team.Account.Use(team.Running.DominantShare(c.total))
+	for _, q := range team.Queues {
+		c.updateQueue(q)
+	}
+}
+
+// updateQueue gives the queue its key and its place.
+func (c *Cell) updateQueue(q *work.Queue) {
+	q.Key = q.NewKey(c.total)
+	c.picker.Update(q)
+}
+
+// Standings appends the standing of every team to into and returns it.
+func (c *Cell) Standings(into []policy.Standing) []policy.Standing {
+	for _, team := range c.teamOrder {
+		into = append(into, policy.Standing{
+			Team:    team.Name,
+			Running: team.Running,
+			Queued:  team.Queued,
+			Part:    team.Part,
+		})
+	}
+	return into
+}
--- /dev/null
+++ b/policy/cell/decide.go
@@ -0,0 +1,187 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/policy/placement"
+	"github.com/hornbeamworks/hornbeam/policy/work"
+)
+
+// lookahead is how many jobs of a queue are tried, so that one that does not
+// fit does not hold up those behind it.
+const lookahead = 4
+
+// Decide appends to plan what follows from all that happened until now.
+func (c *Cell) Decide(now time.Time, plan *policy.Plan) {
+	c.now = now
+	c.refresh()
+	c.runTimers()
+	c.runProbes()
+	c.reviewReservations()
+	c.wake()
+	starts := c.startAll(plan)
+	c.preempt()
+	c.reserveHead()
+	c.flush(plan)
+	plan.Wake = c.nextWake(starts)
+}
+
+// runTimers ends windows and backoffs that are due.
+func (c *Cell) runTimers() {
+	for {
+		j, t := c.timers.Pop(c.now)
+		switch {
+		case j != nil:
+			j.Expire()
+		case t != nil:
+			t.Fire(work.Due)
+			t.Job.Review()
+		default:
+			return
+		}
+	}
+}
+
+// wake unblocks the queues that the endpoints with new room may serve.
+func (c *Cell) wake() {
+	if c.exhaustive {
+		c.unblockAll()
+	}
+	for _, q := range c.queueOrder {
+		if len(c.changed) == 0 {
+			return
+		}
+		if q.Blocked && c.mayStart(q) {
+			c.unblock(q)
+		}
+	}
+	for _, n := range c.changed {
+		n.Changed = false
+	}
+	c.changed = c.changed[:0]
+}
+
+// mayStart reports whether a job of the queue that is in reach may fit one of
+// the changed endpoints.
+func (c *Cell) mayStart(q *work.Queue) bool {
+	j := q.First
+	for range lookahead {
+		if j == nil {
+			return false
+		}
+		if c.mayFit(j) {
+			return true
+		}
+		j = j.Next
+	}
+	return false
+}
+
+// mayFit reports whether the changed endpoints may let the job start. For a
+// gang they must make up for all the tasks that were missing.
+func (c *Cell) mayFit(j *work.Job) bool {
+	size := c.size(j)
+	for _, n := range c.changed {
+		fitting := placement.Fits(size, n.Room())
+		if fitting > 0 {
+			j.Missing -= int(fitting)
+		}
+		if fitting > 0 && j.Missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// unblock lets the queue be tried again.
+func (c *Cell) unblock(q *work.Queue) {
+	if q.Blocked {
+		q.Blocked = false
+		c.updateQueue(q)
+	}
+}
+
+func (c *Cell) unblockAll() {
+	for _, q := range c.queueOrder {
+		c.unblock(q)
+	}
+}
+
+// unblockTeam lets the queues be tried that the team's limit has held up.
+func (c *Cell) unblockTeam(team *work.Team) {
+	for _, q := range team.Queues {
+		if q.OverLimit {
+			c.unblock(q)
+		}
+	}
+}
+
+// startAll starts what can be started, in order, and returns the number.
+func (c *Cell) startAll(plan *policy.Plan) int {
+	before := len(plan.Starts)
+	for len(plan.Starts)-before < c.settings.StartsPerPlan {
+		q := c.picker.Next()
+		if q == nil {
+			break
+		}
+		if !c.startFrom(q, plan) {
+			q.Blocked = true
+			c.picker.Update(q)
+		}
+	}
+	return len(plan.Starts) - before
+}
+
+// startFrom starts the first job of the queue that can be started.
+func (c *Cell) startFrom(q *work.Queue, plan *policy.Plan) bool {
+	q.OverLimit = false
+	j := q.First
+	for range lookahead {
+		if j == nil {
+			return false
+		}
+		if c.start(j, plan) {
+			return true
+		}
+		j = j.Next
+	}
+	return false
+}
+
+// flush hands over what events have asked for since the last plan.
+func (c *Cell) flush(plan *policy.Plan) {
+	plan.Halts = append(plan.Halts, c.halts...)
+	plan.Endings = append(plan.Endings, c.endings...)
+	c.halts, c.endings = c.halts[:0], c.endings[:0]
+}
+
+// nextWake returns when Decide has something to do even if nothing happens.
+func (c *Cell) nextWake(starts int) time.Time {
+	if starts >= c.settings.StartsPerPlan {
+		return c.now
+	}
+	wake, _ := c.timers.Next()
+	if c.waiting() {
+		wake = earliest(wake, c.now.Add(refreshPeriod))
+	}
+	return c.nextProbe(wake)
+}
+
+// waiting reports whether a job waits for a start.
+func (c *Cell) waiting() bool {
+	for _, q := range c.queueOrder {
+		if q.Len > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// earliest returns the earlier time; the zero time stands for never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/policy/cell/finish.go
@@ -0,0 +1,150 @@
+package cell
+
+import (
+	"math"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/policy/work"
+)
+
+// How estimates are used.
+const (
+	// learnPeriod is the number of ends between two looks at the estimates.
+	learnPeriod = 8
+	// sizeQuantile is the part of the tasks that a learned size holds.
+	sizeQuantile = 0.9
+	// timeQuantile is the part of the tasks that a learned run time covers.
+	timeQuantile = 0.8
+	// factorChange is the least relative change of a factor that counts.
+	factorChange = 0.15
+)
+
+// Confirm says that the endpoint has started the attempt.
+func (c *Cell) Confirm(now time.Time, attempt model.AttemptID) {
+	c.now = now
+	if t := c.live(attempt); t != nil {
+		t.Ran()
+		t.Fire(work.Confirm)
+		t.Job.Review()
+	}
+}
+
+// Reject says that the attempt has not run and never will. Its endpoint gets
+// nothing more until it has reported.
+func (c *Cell) Reject(now time.Time, attempt model.AttemptID) {
+	c.now = now
+	t := c.live(attempt)
+	if t == nil {
+		return
+	}
+	n := t.Node
+	n.Full = true
+	t.Fire(work.Reject)
+	c.gained(n)
+	t.Job.Review()
+}
+
+// Finish says that the attempt has ended.
+func (c *Cell) Finish(now time.Time, finished policy.Finish) {
+	c.now = now
+	t := c.live(finished.Attempt)
+	if t == nil {
+		return
+	}
+	j, n := t.Job, t.Node
+	if finished.Uncertain {
+		j.Unsure = true
+	} else {
+		t.Ran()
+	}
+	c.learn(t, finished)
+	event := outcomeEvent(finished)
+	if event == work.Fail {
+		t.Failures++
+		t.Avoid(n.Info.ID)
+	}
+	probe := n.Probe == t
+	t.Fire(event)
+	c.judge(n, j, event, probe)
+	j.Review()
+}
+
+// outcomeEvent is the event of a task that the end of an attempt means.
+func outcomeEvent(finished policy.Finish) work.Event {
+	if finished.Uncertain {
+		return work.Vanish
+	}
+	switch finished.Outcome {
+	case model.Succeeded:
+		return work.Succeed
+	case model.Failed:
+		return work.Fail
+	}
+	return work.Interrupt
+}
+
+// live returns the task whose live attempt this is, or nil.
+func (c *Cell) live(attempt model.AttemptID) *work.Task {
+	j := c.jobs[attempt.Task.Request]
+	if j == nil {
+		return nil
+	}
+	t := taskOf(j, attempt.Task.Index)
+	if t == nil || t.Number != attempt.Number || !t.Live() {
+		return nil
+	}
+	return t
+}
+
+// learn takes the size and run time of an ended attempt into account.
+func (c *Cell) learn(t *work.Task, finished policy.Finish) {
+	t.Floor = t.Floor.Max(finished.Peak)
+	if finished.Outcome != model.Succeeded {
+		return
+	}
+	spec, q := &t.Job.Request.Spec, t.Job.Queue
+	for r := range work.Learned {
+		q.Sizes[r].Observe(float64(finished.Peak[r]), float64(spec.Size[r]))
+	}
+	q.Times.Observe(finished.Elapsed.Seconds(), spec.Estimate.Seconds())
+	q.Samples++
+	if q.Samples%learnPeriod == 0 {
+		c.applyEstimates(q)
+	}
+}
+
+// applyEstimates renews the factors of the queue; the queue is tried again
+// when they have changed.
+func (c *Cell) applyEstimates(q *work.Queue) {
+	changed := false
+	if factor, known := q.Times.Quantile(timeQuantile); known && factor != q.TimeFactor {
+		q.TimeFactor = factor
+		changed = true
+	}
+	for r := range work.Learned {
+		factor, known := q.Sizes[r].Quantile(sizeQuantile)
+		factor = max(1, factor)
+		if known && math.Abs(factor/q.Factors[r]-1) > factorChange {
+			q.Factors[r] = factor
+			changed = true
+		}
+	}
+	if changed {
+		c.resize(q)
+		c.unblock(q)
+	}
+}
+
+// resize makes the jobs of the queue work out their sizes anew.
+func (c *Cell) resize(q *work.Queue) {
+	j := q.First
+	for range lookahead {
+		if j == nil {
+			return
+		}
+		j.Sized = 0
+		j = j.Next
+	}
+}
--- /dev/null
+++ b/policy/cell/quarantine.go
@@ -0,0 +1,110 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/policy/quarantine"
+	"github.com/hornbeamworks/hornbeam/policy/work"
+)
+
+// judge takes the end of an attempt into account for the endpoint's health and
+// for how often such work fails.
+func (c *Cell) judge(n *work.Node, j *work.Job, event work.Event, probe bool) {
+	if event != work.Succeed && event != work.Fail {
+		return
+	}
+	failed := event == work.Fail
+	q := j.Queue
+	if probe {
+		c.endProbe(n, failed)
+	}
+	n.Health.Observe(failed, quarantine.End{
+		Request:  j.Request.ID,
+		Team:     j.Request.Team,
+		Expected: q.Failures.Value(),
+	})
+	q.Failures.Observe(failed)
+	if failed && n.Open() && n.Health.Suspect() && c.mayQuarantine(n) {
+		n.Fire(work.Sicken)
+		c.scheduleProbe(n)
+		c.stats.Quarantined++
+		c.placer.Update(n)
+	}
+}
+
+// mayQuarantine compares the endpoint with the others and keeps the number of
+// quarantined endpoints bounded.
+func (c *Cell) mayQuarantine(n *work.Node) bool {
+	sum, others := 0.0, 0
+	for _, other := range c.nodeOrder {
+		if other != n && other.Open() {
+			sum += other.Health.Rate()
+			others++
+		}
+	}
+	if others == 0 || !quarantine.Allowed(len(c.sick), len(c.nodeOrder)) {
+		return false
+	}
+	return n.Health.Sick(sum / float64(others))
+}
+
+// scheduleProbe sets the end of a quarantine that has just begun.
+func (c *Cell) scheduleProbe(n *work.Node) {
+	if !n.Sick {
+		return
+	}
+	if !slices.Contains(c.sick, n) {
+		c.sick = append(c.sick, n)
+	}
+	if n.Quarantined() && n.ProbeAt.IsZero() {
+		n.ProbeAt = c.now.Add(n.ProbeAfter)
+	}
+}
+
+// runProbes opens quarantined endpoints for a probe when it is time, and takes
+// back those whose probe has run for as long as a quarantine.
+func (c *Cell) runProbes() {
+	for i := len(c.sick) - 1; i >= 0; i-- {
+		n := c.sick[i]
+		if n.Quarantined() && !n.ProbeAt.After(c.now) {
+			n.Fire(work.ProbeDue)
+			c.gained(n)
+		}
+		if n.Probe != nil && c.now.Sub(n.Probe.Started) >= c.settings.ProbeAfter && n.Probe.Job.Ran {
+			c.endProbe(n, false)
+		}
+	}
+}
+
+// endProbe takes the endpoint back or quarantines it for longer.
+func (c *Cell) endProbe(n *work.Node, failed bool) {
+	n.Probe = nil
+	if failed {
+		n.Fire(work.ProbeFailed)
+		c.scheduleProbe(n)
+		c.placer.Update(n)
+		return
+	}
+	n.Fire(work.ProbePassed)
+	n.ProbeAfter = c.settings.ProbeAfter
+	if !n.Sick {
+		c.forgetSick(n)
+	}
+	c.gained(n)
+}
+
+// forgetSick takes the endpoint off the list of sick ones.
+func (c *Cell) forgetSick(n *work.Node) {
+	c.sick = slices.DeleteFunc(c.sick, func(other *work.Node) bool { return other == n })
+}
+
+// nextProbe returns when the next quarantine ends, if any does.
+func (c *Cell) nextProbe(wake time.Time) time.Time {
+	for _, n := range c.sick {
+		if n.Quarantined() {
+			wake = earliest(wake, n.ProbeAt)
+		}
+	}
+	return wake
+}
--- /dev/null
+++ b/policy/cell/reserve.go
@@ -0,0 +1,161 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy/placement"
+	"github.com/hornbeamworks/hornbeam/policy/work"
+)
+
+// The bounds of reservations.
+const (
+	// reservePeriod is how often the reservation for the first job that can't
+	// start is worked out anew.
+	reservePeriod = time.Second
+	// reserveAfter divides the longest wait: a job that has waited for this
+	// part of it is reserved for.
+	reserveAfter = 8
+	// overrun divides the expected run time of an attempt that has outlived
+	// it: it is expected to run for this part of it longer.
+	overrun = 4
+)
+
+// slot is room for one task of the reserved job at some time.
+type slot struct {
+	at   time.Time
+	node *work.Node
+}
+
+// reserveHead keeps endpoints for the first job that can't start: those where
+// its tasks will soonest have room together. Others may use them if they are
+// expected to end before that (EASY backfill, Lifka 1995). One job is reserved
+// for at a time, so that no two gangs can wait for each other.
+func (c *Cell) reserveHead() {
+	if c.now.Sub(c.reviewed) < reservePeriod {
+		return
+	}
+	c.reviewed = c.now
+	j := c.firstBlocked()
+	if j == nil {
+		return
+	}
+	c.findSlots(j)
+	count := j.Count()
+	if len(c.slots) < count {
+		return
+	}
+	slices.SortStableFunc(c.slots, func(a, b slot) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.node.Leaf, b.node.Leaf))
+	})
+	start := c.slots[count-1].at
+	for _, s := range c.slots[:count] {
+		c.reserveNode(s.node, j, start, c.now.Add(reservePeriod))
+	}
+}
+
+// firstBlocked returns the first job, in the order of the queues, that has
+// waited for long enough and is held up by the endpoints alone.
+func (c *Cell) firstBlocked() *work.Job {
+	var first *work.Queue
+	for _, q := range c.queueOrder {
+		if !q.Blocked || q.Len == 0 || q.First.Missing == missingLimit || q.First.Reserved > 0 {
+			continue
+		}
+		if c.now.Sub(q.First.Request.Accepted) < q.First.Class.MaxWait/reserveAfter {
+			continue
+		}
+		if first == nil || q.Before(first) {
+			first = q
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return first.First
+}
+
+// findSlots fills c.slots with the times at which each endpoint has room for
+// one task of the job more.
+func (c *Cell) findSlots(j *work.Job) {
+	c.slots = c.slots[:0]
+	size, count := c.size(j), j.Count()
+	for _, n := range c.nodeOrder {
+		if !n.Open() || n.Reserved != nil || j.Head().Avoids(n.Info.ID) {
+			continue
+		}
+		c.running = append(c.running[:0], n.Tasks...)
+		slices.SortStableFunc(c.running, func(a, b *work.Task) int {
+			return c.ends(a).Compare(c.ends(b))
+		})
+		c.addSlots(n, size, count)
+	}
+}
+
+// addSlots adds the slots of one endpoint; c.running are its tasks in the
+// order of their expected ends.
+func (c *Cell) addSlots(n *work.Node, size model.Resources, count int) {
+	room, at, have := n.Free(), c.now, 0
+	for i := 0; ; i++ {
+		fitting := min(int(placement.Fits(size, room)), count)
+		for ; have < fitting; have++ {
+			c.slots = append(c.slots, slot{at: at, node: n})
+		}
+		if have == count || i == len(c.running) || c.running[i].Job.Service() {
+			return
+		}
+		t := c.running[i]
+		room = room.Add(t.Size).Add(t.Excess)
+		at = c.ends(t)
+	}
+}
+
+// ends is when a live attempt is expected to end.
+func (c *Cell) ends(t *work.Task) time.Time {
+	duration := c.duration(t.Job)
+	end := t.Started.Add(duration)
+	if end.After(c.now) {
+		return end
+	}
+	return c.now.Add(duration / overrun)
+}
+
+// reserveNode keeps the endpoint for the job.
+func (c *Cell) reserveNode(n *work.Node, j *work.Job, start, lapses time.Time) {
+	if n.Reserved == nil {
+		c.reserved = append(c.reserved, n)
+		j.Reserved++
+	}
+	n.Reserved, n.ReservedUntil, n.ReserveEnds = j, start, lapses
+}
+
+// reviewReservations gives up the reservations that have lapsed.
+func (c *Cell) reviewReservations() {
+	for i := len(c.reserved) - 1; i >= 0; i-- {
+		if n := c.reserved[i]; !n.ReserveEnds.After(c.now) {
+			c.unreserve(n)
+		}
+	}
+}
+
+// unreserve gives up the reservation of the endpoint.
+func (c *Cell) unreserve(n *work.Node) {
+	if n.Reserved == nil {
+		return
+	}
+	n.Reserved.Reserved--
+	n.Reserved = nil
+	c.reserved = slices.DeleteFunc(c.reserved, func(other *work.Node) bool { return other == n })
+	c.gained(n)
+}
+
+// unreserveJob gives up the reservations of the job.
+func (c *Cell) unreserveJob(j *work.Job) {
+	for i := len(c.reserved) - 1; i >= 0 && j.Reserved > 0; i-- {
+		if n := c.reserved[i]; n.Reserved == j {
+			c.unreserve(n)
+		}
+	}
+}
--- /dev/null
+++ b/policy/cell/start.go
@@ -0,0 +1,164 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/policy/work"
+)
+
+// start starts the next task of the job, or all tasks of a gang, when the
+// team's limit and the endpoints have room. It reports whether it did.
+func (c *Cell) start(j *work.Job, plan *policy.Plan) bool {
+	t, count := j.Head(), j.Count()
+	size := c.size(j)
+	if !size.Scale(int64(count)).Fits(j.Team.Room()) {
+		j.Queue.OverLimit = true
+		j.Missing = missingLimit
+		return false
+	}
+	c.want = work.Want{Now: c.now, Task: t, Size: size, Ends: c.now.Add(c.duration(j))}
+	if !c.choose(j, count) {
+		return false
+	}
+	for _, n := range c.chosen {
+		c.place(j.Head(), n, size, plan)
+	}
+	c.unreserveJob(j)
+	c.used(j.Team)
+	j.Queue.Starts.Observe(c.now)
+	j.Review()
+	return true
+}
+
+// choose fills c.chosen with an endpoint for each of count tasks.
+func (c *Cell) choose(j *work.Job, count int) bool {
+	c.chosen = c.chosen[:0]
+	c.want.RackLevel = len(j.Tasks)
+	if j.Service() {
+		return c.chooseSpread(j)
+	}
+	for t := j.Head(); len(c.chosen) < count; t = t.NextQueued() {
+		c.want.Task = t
+		n := c.placer.First(&c.want)
+		if n == nil {
+			break
+		}
+		c.hold(n, c.want.Size)
+		c.chosen = append(c.chosen, n)
+	}
+	for _, n := range c.chosen {
+		c.hold(n, model.Resources{}.Sub(c.want.Size))
+	}
+	j.Missing = count - len(c.chosen)
+	return j.Missing == 0
+}
+
+// hold counts a task that is about to be placed.
+func (c *Cell) hold(n *work.Node, size model.Resources) {
+	n.Held = n.Held.Add(size)
+	c.placer.Update(n)
+}
+
+// chooseSpread picks the first endpoint of a rack with the fewest tasks of the
+// service.
+func (c *Cell) chooseSpread(j *work.Job) bool {
+	most := countRacks(j)
+	defer clearRacks(j)
+	for level := 0; level <= most; level++ {
+		c.want.RackLevel = level
+		if n := c.placer.First(&c.want); n != nil {
+			c.chosen = append(c.chosen, n)
+			return true
+		}
+	}
+	return false
+}
+
+// countRacks counts the live tasks of the job by rack and returns the most.
+func countRacks(j *work.Job) int {
+	most := 0
+	for i := range j.Tasks {
+		if n := j.Tasks[i].Node; n != nil {
+			n.Rack.Count++
+			most = max(most, n.Rack.Count)
+		}
+	}
+	return most
+}
+
+func clearRacks(j *work.Job) {
+	for i := range j.Tasks {
+		if n := j.Tasks[i].Node; n != nil {
+			n.Rack.Count = 0
+		}
+	}
+}
+
+// place starts the task on the endpoint.
+func (c *Cell) place(t *work.Task, n *work.Node, size model.Resources, plan *policy.Plan) {
+	t.Node, t.Size, t.Started = n, size, c.now
+	t.Number++
+	t.Throttled, t.Outgrown = false, 0
+	t.Fire(work.Place)
+	t.Assume()
+	t.Job.Sized = 0
+	if n.Probing() {
+		n.Probe = t
+		c.placer.Update(n)
+	}
+	plan.Starts = append(plan.Starts, policy.Start{
+		Attempt:  t.Attempt(),
+		Endpoint: n.Info.ID,
+		Size:     size,
+		Request:  t.Job.Request,
+	})
+}
+
+// missingLimit is the Missing of a job that the team's limit holds up.
+const missingLimit = 1 << 30
+
+// size returns what the next attempt of the job commits.
+func (c *Cell) size(j *work.Job) model.Resources {
+	if j.Sized != c.estimates {
+		j.Size, j.Sized = c.newSize(j.Head()), c.estimates
+	}
+	return j.Size
+}
+
+// newSize is what the task's next attempt commits: the largest of the declared
+// size, the size learned for its class and team and the most that an earlier
+// attempt used, as far as endpoints and the team's limit can hold it.
+func (c *Cell) newSize(t *work.Task) model.Resources {
+	j := t.Job
+	declared := j.Request.Spec.Size
+	learned := declared
+	for r := range work.Learned {
+		learned[r] = int64(float64(declared[r]) * j.Queue.Factors[r])
+	}
+	learned = learned.Max(t.Floor).Max(declared)
+	if learned == declared {
+		return declared
+	}
+	count := int64(j.Count())
+	for r := range learned {
+		learned[r] = max(declared[r], min(learned[r], j.Team.Limit[r]/count))
+	}
+	learned = c.own.Clamp(learned, declared)
+	if count > 1 && !c.own.Holds(learned, int(count)) {
+		return declared
+	}
+	return learned
+}
+
+// duration is how long an attempt of the job is expected to run.
+func (c *Cell) duration(j *work.Job) time.Duration {
+	if j.Service() {
+		return serviceDuration
+	}
+	return time.Duration(float64(j.Request.Spec.Estimate) * j.Queue.TimeFactor)
+}
+
+// serviceDuration stands for a run time without end.
+const serviceDuration = 365 * 24 * time.Hour
--- /dev/null
+++ b/policy/work/queue.go
@@ -0,0 +1,235 @@
+package work
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy/estimate"
+	"github.com/hornbeamworks/hornbeam/policy/quota"
+)
+
+// Tiers is the number of tiers that classes fall into by their longest wait.
+const Tiers = 4
+
+// The longest waits of the tiers but the last.
+const (
+	urgentWait = 10 * time.Second
+	promptWait = 2 * time.Minute
+	normalWait = time.Hour
+)
+
+// Tier returns the tier of a longest wait; tier 0 is served first.
+func Tier(maxWait time.Duration) int {
+	switch {
+	case maxWait <= urgentWait:
+		return 0
+	case maxWait <= promptWait:
+		return 1
+	case maxWait <= normalWait:
+		return 2
+	}
+	return Tiers - 1
+}
+
+// Learned is the number of resources whose sizes are learned: the first ones,
+// processors and memory. The others are counts that tasks can't outgrow.
+const Learned = int(model.Memory) + 1
+
+// Team is a team with what it uses.
+type Team struct {
+	// Name names the team.
+	Name model.TeamName
+	// Known says that the configuration has the team.
+	Known bool
+	// Limit is the team's limit in the fleet.
+	Limit model.Resources
+	// Part is the part of the limit that this scheduler may use.
+	Part model.Resources
+	// Queued is the declared size of the team's queued tasks.
+	Queued model.Resources
+	// Running is the size of the team's live attempts.
+	Running model.Resources
+	// InTier is the same for each tier.
+	InTier [Tiers]model.Resources
+	// Account holds the team's share and use.
+	Account quota.Account
+	// Queues are the queues of the team, one for each class.
+	Queues []*Queue
+}
+
+// Room is what the team may still start.
+func (t *Team) Room() model.Resources {
+	room := t.Part
+	for i := range room {
+		room[i] = min(room[i], t.Limit[i]) - t.Running[i]
+	}
+	return room
+}
+
+// Queue holds the jobs of one class and team that have tasks to start, oldest
+// first.
+type Queue struct {
+	// Class names the class.
+	Class model.ClassName
+	// Team is the team.
+	Team *Team
+	// Tier is the tier of the class.
+	Tier int
+	// First and Last are the oldest and the newest job.
+	First, Last *Job
+	// Len is the number of jobs.
+	Len int
+	// Tasks is the number of queued tasks.
+	Tasks int
+	// Blocked says that nothing in it could be started when it was last tried.
+	Blocked bool
+	// OverLimit says that the team's limit was the reason.
+	OverLimit bool
+	// Sizes learns how much larger than declared the tasks are.
+	Sizes [Learned]estimate.Ratio
+	// Times learns how much longer than declared the tasks run.
+	Times estimate.Ratio
+	// Factors say by how much declared sizes are multiplied, at least 1.
+	Factors [Learned]float64
+	// TimeFactor is the same for run times and may be below 1.
+	TimeFactor float64
+	// Samples counts the ends that the estimators have seen.
+	Samples int
+	// Open is the number of jobs that are not forgotten.
+	Open int
+	// Failures counts how the tasks end.
+	Failures estimate.Rate
+	// Key is the place in the order.
+	Key Key
+	// Index is the place in the order's heap, -1 outside it.
+	Index int
+	// Starts estimates the rate of starts.
+	Starts estimate.Frequency
+}
+
+// Key orders queues; the least is served first.
+type Key struct {
+	// Tier is the tier; a team that uses its whole share in a tier is served
+	// in the last one.
+	Tier int
+	// Ratio is the team's use by its share.
+	Ratio float64
+	// Accepted is the acceptance of the oldest job.
+	Accepted time.Time
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(class model.ClassName, team *Team, tier int) *Queue {
+	q := &Queue{Class: class, Team: team, Tier: tier, TimeFactor: 1, Index: -1}
+	for i := range q.Factors {
+		q.Factors[i] = 1
+	}
+	return q
+}
+
+// NewKey returns the key of the queue as things stand.
+func (q *Queue) NewKey(total model.Resources) Key {
+	key := Key{Tier: q.Tier, Ratio: q.Team.Account.Ratio()}
+	if q.First != nil {
+		key.Accepted = q.First.Request.Accepted
+	}
+	if q.Team.InTier[q.Tier].DominantShare(total) >= q.Team.Account.Entitled() {
+		key.Tier = Tiers - 1
+	}
+	return key
+}
+
+// Before reports whether q is served before other.
+func (q *Queue) Before(other *Queue) bool {
+	a, b := &q.Key, &other.Key
+	if a.Tier != b.Tier {
+		return a.Tier < b.Tier
+	}
+	if a.Ratio != b.Ratio {
+		return a.Ratio < b.Ratio
+	}
+	if !a.Accepted.Equal(b.Accepted) {
+		return a.Accepted.Before(b.Accepted)
+	}
+	if q.Team.Name != other.Team.Name {
+		return q.Team.Name < other.Team.Name
+	}
+	return q.Class < other.Class
+}
+
+// Picker keeps the queues in their order.
+type Picker interface {
+	// Update takes the queue's state and key: whether it has jobs, whether it
+	// is blocked and where it stands.
+	Update(q *Queue)
+	// Next returns the first queue that has jobs and is not blocked, or nil.
+	Next() *Queue
+}
+
+// Placer keeps the endpoints in their order.
+type Placer interface {
+	// Rebuild takes all endpoints in their order and sets their leaves.
+	Rebuild(nodes []*Node)
+	// Update takes the room of an endpoint.
+	Update(n *Node)
+	// First returns the first endpoint with room for w.Size that w allows, or
+	// nil.
+	First(w *Want) *Node
+}
+
+// Insert puts the job in its place. New jobs go to the end and returning ones
+// near the front, both in a few steps.
+func (q *Queue) Insert(j *Job, returning bool) {
+	after := q.Last
+	if returning {
+		after = q.lastBefore(j)
+	} else {
+		for after != nil && j.Before(after) {
+			after = after.Prev
+		}
+	}
+	q.link(j, after)
+	j.InQueue = true
+	q.Len++
+}
+
+// lastBefore returns the last job that stands before j, seen from the front.
+func (q *Queue) lastBefore(j *Job) *Job {
+	var found *Job
+	for at := q.First; at != nil && at.Before(j); at = at.Next {
+		found = at
+	}
+	return found
+}
+
+// link puts j behind after, or at the front when after is nil.
+func (q *Queue) link(j, after *Job) {
+	j.Prev, j.Next = after, q.First
+	if after != nil {
+		j.Next = after.Next
+		after.Next = j
+	} else {
+		q.First = j
+	}
+	if j.Next != nil {
+		j.Next.Prev = j
+	} else {
+		q.Last = j
+	}
+}
+
+// Remove takes the job out in constant time.
+func (q *Queue) Remove(j *Job) {
+	if j.Prev != nil {
+		j.Prev.Next = j.Next
+	} else {
+		q.First = j.Next
+	}
+	if j.Next != nil {
+		j.Next.Prev = j.Prev
+	} else {
+		q.Last = j.Prev
+	}
+	j.Prev, j.Next, j.InQueue = nil, nil, false
+	q.Len--
+}
