--- a/result/result.go
+++ b/result/result.go
@@ -43,6 +43,7 @@
 	NoConfig          Code = 406
 	Busy              Code = 407
 	CancelledRunning  Code = 408
+	HomeNotReached    Code = 409
 	ChangeConflict    Code = 500
 	ChangeRejected    Code = 501
 	ChangeUnconfirmed Code = 502
@@ -88,6 +89,7 @@
 	{NoConfig, "no_config", model.NotRun, "The process has no configuration yet."},
 	{Busy, "busy", model.NotRun, "The process's input ring is full."},
 	{CancelledRunning, "cancelled_running", model.DidRun, "The request was cancelled after its work had started; the work was stopped."},
+	{HomeNotReached, "home_not_reached", model.NotRun, "The submission did not leave the entry instance, since the request's home could not be reached; this submission did not run."},
 	{ChangeConflict, "change_conflict", model.NotRun, "Another change was accepted first."},
 	{ChangeRejected, "change_rejected", model.NotRun, "The change is not consistent; nothing was changed."},
 	{ChangeUnconfirmed, "change_unconfirmed", model.Unknown, "The table did not confirm the change; it may be in force."},
--- /dev/null
+++ b/result/result_test.go
@@ -0,0 +1,63 @@
+package result_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/result"
+)
+
+// page is the page that lists the codes.
+const page = "../docs/RESULTS.md"
+
+// rows returns the rows of the page's table of codes.
+func rows() []string {
+	raw, err := os.ReadFile(page)
+	Expect(err).NotTo(HaveOccurred())
+	var found []string
+	for line := range strings.Lines(string(raw)) {
+		if strings.HasPrefix(line, "| ") && line[2] >= '0' && line[2] <= '9' {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return found
+}
+
+var _ = Describe("Table", func() {
+	It("is the table of docs/RESULTS.md", func() {
+		var want []string
+		for _, e := range result.Table {
+			want = append(want, fmt.Sprintf("| %d | `%s` | %s | %s |", e.Code, e.Name, e.Ran, e.Meaning))
+		}
+		Expect(rows()).To(Equal(want))
+	})
+
+	It("is in order and names every code once", func() {
+		names := map[string]bool{}
+		Expect(slices.IsSortedFunc(result.Table, func(a, b result.Entry) int { return int(a.Code - b.Code) })).To(BeTrue())
+		for _, e := range result.Table {
+			Expect(names[e.Name]).To(BeFalse(), e.Name)
+			names[e.Name] = true
+			Expect(e.Code.String()).To(Equal(e.Name))
+		}
+	})
+})
+
+var _ = Describe("Of", func() {
+	It("finds the code through wrapping", func() {
+		err := eris.Wrap(result.Errorf(result.QueueFull, "%d are queued", 9), "submitting")
+		Expect(result.Of(err)).To(Equal(&result.Error{Code: result.QueueFull, Reason: "9 are queued"}))
+	})
+
+	It("knows nothing of what an error without a code left behind", func() {
+		Expect(result.Of(eris.New("broken")).Code).To(Equal(result.OutcomeUnknown))
+		Expect(result.Lookup(0).Ran).To(Equal(model.Unknown))
+	})
+})
