--- a/model/config.go
+++ b/model/config.go
@@ -85,6 +85,9 @@
 	Shards int `json:"shards"`
 	// Out says that operators have taken the domain out of service.
 	Out bool `json:"out,omitempty"`
+	// BackAt is when the domain was last brought back; requests submitted
+	// while it was out live elsewhere.
+	BackAt time.Time `json:"back_at,omitzero"`
 }
 
 // Config is one version of what operators have set. A Config is never changed
