Add the callers' gate: keys, bounds for each team, HTTP front, drain

The admission duty owns the keys in force and the visits under way. A withdrawn key ends its waiting requests; a team's requests are bounded in number and rate; a stale view refuses new work by key only.

--- /dev/null
+++ b/cmd/hornbeam-gate/settings.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/gate"
+	"github.com/hornbeamworks/hornbeam/gate/httpapi"
+	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/routing"
+	"github.com/hornbeamworks/hornbeam/settings"
+)
+
+// programSettings are the sections of the gate's settings file.
+type programSettings struct {
+	Gate     gateSettings     `ini:"gate"`
+	Platform platformSettings `ini:"platform"`
+	Domains  []domainSettings `ini:"domain.*" validate:"dive"`
+	Limits   limitSettings    `ini:"limits"`
+	Log      logging.Settings `ini:"log"`
+}
+
+// gateSettings are the process's own addresses and times.
+type gateSettings struct {
+	// Listen is the address for callers, Admin the one for the process's pages.
+	Listen string `ini:"listen" validate:"hostname_port"`
+	Admin  string `ini:"admin" validate:"hostname_port"`
+	// DrainTimeout bounds the time from SIGTERM to the end of the process.
+	DrainTimeout time.Duration `ini:"drain_timeout" validate:"min=1s,max=10m"`
+	// DrainLinger is how long newcomers are refused with a code before the
+	// listener closes, so that the balancer notices first.
+	DrainLinger time.Duration `ini:"drain_linger" validate:"min=0s,max=1m"`
+}
+
+// platformSettings say where the platform's services are.
+type platformSettings struct {
+	// Table is the base URL of the table service.
+	Table string `ini:"table" validate:"url"`
+}
+
+// domainSettings name the schedulers of one failure domain.
+type domainSettings struct {
+	Name string `ini:"*"`
+	// Schedulers are their addresses.
+	Schedulers []string `ini:"schedulers" validate:"min=1,dive,hostname_port"`
+}
+
+// limitSettings bound what callers may use.
+type limitSettings struct {
+	Connections   int           `ini:"connections" validate:"min=1,max=1000000"`
+	HeaderBytes   int           `ini:"header_bytes" validate:"min=1024,max=1048576"`
+	BodyBytes     int64         `ini:"body_bytes" validate:"min=1024,max=16777216"`
+	HeaderTimeout time.Duration `ini:"header_timeout" validate:"min=100ms,max=1m"`
+	BodyTimeout   time.Duration `ini:"body_timeout" validate:"min=100ms,max=5m"`
+	IdleTimeout   time.Duration `ini:"idle_timeout" validate:"min=100ms,max=1h"`
+	WriteTimeout  time.Duration `ini:"write_timeout" validate:"min=100ms,max=5m"`
+	Requests      int           `ini:"requests" validate:"min=1,max=1000000"`
+	TeamRequests  int           `ini:"team_requests" validate:"min=1,max=1000000"`
+	TeamRate      float64       `ini:"team_rate" validate:"gt=0"`
+	TeamBurst     int           `ini:"team_burst" validate:"min=1"`
+	MaxWait       time.Duration `ini:"max_wait" validate:"min=0s,max=10m"`
+}
+
+// loadSettings reads the file over the defaults.
+func loadSettings(file string) (*programSettings, error) {
+	s := defaultSettings()
+	if err := settings.Load(file, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func defaultSettings() *programSettings {
+	limits, bounds := httpapi.DefaultLimits(), gate.DefaultSettings()
+	return &programSettings{
+		Gate: gateSettings{DrainTimeout: time.Minute, DrainLinger: time.Second},
+		Log:  logging.Settings{Level: "info"},
+		Limits: limitSettings{
+			Connections:   limits.MaxConnections,
+			HeaderBytes:   limits.MaxHeaderBytes,
+			BodyBytes:     limits.MaxBodyBytes,
+			HeaderTimeout: limits.HeaderTimeout,
+			BodyTimeout:   limits.BodyTimeout,
+			IdleTimeout:   limits.IdleTimeout,
+			WriteTimeout:  limits.WriteTimeout,
+			Requests:      bounds.MaxRequests,
+			TeamRequests:  bounds.MaxPerTeam,
+			TeamRate:      bounds.TeamRate,
+			TeamBurst:     bounds.TeamBurst,
+			MaxWait:       bounds.MaxWait,
+		},
+	}
+}
+
+// bounds returns the settings of package gate.
+func (s *programSettings) bounds() gate.Settings {
+	bounds := gate.DefaultSettings()
+	bounds.MaxRequests = s.Limits.Requests
+	bounds.MaxPerTeam = s.Limits.TeamRequests
+	bounds.TeamRate = s.Limits.TeamRate
+	bounds.TeamBurst = s.Limits.TeamBurst
+	bounds.MaxWait = s.Limits.MaxWait
+	return bounds
+}
+
+// limits returns the limits of the HTTP front.
+func (s *programSettings) limits() httpapi.Limits {
+	return httpapi.Limits{
+		MaxConnections: s.Limits.Connections,
+		MaxHeaderBytes: s.Limits.HeaderBytes,
+		MaxBodyBytes:   s.Limits.BodyBytes,
+		HeaderTimeout:  s.Limits.HeaderTimeout,
+		BodyTimeout:    s.Limits.BodyTimeout,
+		IdleTimeout:    s.Limits.IdleTimeout,
+		WriteTimeout:   s.Limits.WriteTimeout,
+	}
+}
+
+// addresses returns the schedulers by failure domain.
+func (s *programSettings) addresses() routing.Addresses {
+	addresses := routing.Addresses{}
+	for _, domain := range s.Domains {
+		addresses[model.DomainName(domain.Name)] = domain.Schedulers
+	}
+	return addresses
+}
--- /dev/null
+++ b/gate/httpapi/holder_test.go
@@ -0,0 +1,221 @@
+package httpapi_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/gate"
+	"github.com/hornbeamworks/hornbeam/gate/httpapi"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/peer"
+	"github.com/hornbeamworks/hornbeam/peerrpc"
+	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/routing"
+)
+
+// generous is reached only by a failure.
+const generous = 30 * time.Second
+
+// holder is a holder of all shards in memory.
+type holder struct {
+	// mu guards the rest: handlers call from their own goroutines.
+	mu       sync.Mutex
+	requests map[model.RequestID]peer.SubmitRequest
+	answered map[model.RequestID]chan struct{}
+	done     map[model.RequestID]bool
+	awaits   int
+	// failure is returned by Submit instead of a reply.
+	failure error
+}
+
+func newHolder() *holder {
+	return &holder{
+		requests: map[model.RequestID]peer.SubmitRequest{},
+		answered: map[model.RequestID]chan struct{}{},
+		done:     map[model.RequestID]bool{},
+	}
+}
+
+func (h *holder) Call(ctx context.Context, _, _ string, args, reply any) error {
+	into := reply.(*peer.Reply)
+	switch message := args.(type) {
+	case peer.SubmitRequest:
+		return h.submit(message, into)
+	case peer.AwaitRequest:
+		return h.await(ctx, message, into)
+	case peer.CancelRequest:
+		into.Answer = result.Answer(message.ID, result.Cancelled, "cancelled")
+	}
+	return nil
+}
+
+func (h *holder) submit(message peer.SubmitRequest, into *peer.Reply) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failure != nil {
+		return h.failure
+	}
+	if _, known := h.requests[message.ID]; !known {
+		h.requests[message.ID] = message
+		h.answered[message.ID] = make(chan struct{})
+	}
+	into.Answer = result.Answer(message.ID, result.Pending, "")
+	return nil
+}
+
+func (h *holder) await(ctx context.Context, message peer.AwaitRequest, into *peer.Reply) error {
+	h.mu.Lock()
+	request, known := h.requests[message.ID]
+	answered := h.answered[message.ID]
+	h.awaits++
+	h.mu.Unlock()
+	if !known || request.Team != message.Team {
+		into.Answer = result.Answer(message.ID, result.UnknownRequest, "unknown")
+		return nil
+	}
+	timer := time.NewTimer(message.Wait)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		into.Answer = model.Answer{ID: message.ID, Code: int(result.OK), Ran: model.DidRun, Parts: []model.Part{{Output: request.Spec.Payload}}}
+	case <-timer.C:
+		into.Answer = result.Answer(message.ID, result.Pending, "")
+	case <-ctx.Done():
+		return peerrpc.ErrNoReply
+	}
+	return nil
+}
+
+// finish answers every request that is there.
+func (h *holder) finish() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, answered := range h.answered {
+		if !h.done[id] {
+			h.done[id] = true
+			close(answered)
+		}
+	}
+}
+
+// awaited returns the number of questions for an answer so far.
+func (h *holder) awaited() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.awaits
+}
+
+// request returns the request with the id.
+func (h *holder) request(id model.RequestID) peer.SubmitRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.requests[id]
+}
+
+// known returns the ids of the requests.
+func (h *holder) known() []model.RequestID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []model.RequestID
+	for id := range h.requests {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// fail sets what Submit returns.
+func (h *holder) fail(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failure = err
+}
+
+// view is a configuration that is fresh until told otherwise.
+type view struct {
+	// stale is set by the test and read by the admission duty.
+	stale atomic.Bool
+}
+
+func (*view) Current() *model.Config     { return nil }
+func (v *view) Fresh(now time.Time) bool { return !v.stale.Load() }
+
+// front is a gate on loopback in front of a holder.
+type front struct {
+	url       string
+	address   string
+	holder    *holder
+	view      *view
+	admission *gate.Admission
+	gate      *gate.Gate
+	server    *http.Server
+}
+
+// The secrets of the keys in testConfig.
+const (
+	northSecret    = "north-secret"
+	southSecret    = "south-secret"
+	operatorSecret = "operator-secret"
+)
+
+func hash(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+func testConfig(version model.ConfigVersion) *model.Config {
+	return &model.Config{
+		Version: version,
+		Classes: []model.Class{
+			{Name: "screen", Repeatable: true, Window: time.Minute},
+			{Name: "public", Repeatable: true, Window: time.Minute, Open: true},
+		},
+		Teams: []model.Team{{Name: "north"}, {Name: "south"}},
+		Keys: []model.Key{
+			{ID: "k1", Team: "north", Role: model.Submitter, Hash: hash(northSecret)},
+			{ID: "k2", Team: "south", Role: model.Submitter, Hash: hash(southSecret)},
+			{ID: "k3", Role: model.Operator, Hash: hash(operatorSecret)},
+		},
+		Domains: []model.Domain{{Name: "a", Shards: 1}, {Name: "b", Shards: 1}},
+	}
+}
+
+// newFront starts a gate with the settings and limits and configuration 1.
+func newFront(settings gate.Settings, limits httpapi.Limits) *front {
+	f := &front{holder: newHolder(), view: &view{}}
+	system := clock.System{}
+	router := routing.NewRouter(routing.DefaultSettings(), system, routing.Addresses{"a": {"pa"}, "b": {"pb"}})
+	f.admission = gate.NewAdmission(settings, system, f.view)
+	f.gate = gate.New(settings, system, f.admission, routing.NewCaller(router, f.holder, system))
+	f.server = httpapi.Server(f.gate, limits)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f.address = listener.Addr().String()
+	f.url = "http://" + f.address
+	group := duty.NewGroup(context.Background())
+	group.Start(router, f.admission)
+	group.Serve(func(context.Context) error {
+		if err := f.server.Serve(httpapi.Listen(listener, limits)); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	Expect(f.admission.SetConfig(testConfig(1))).To(BeTrue())
+	DeferCleanup(func() {
+		_ = f.server.Close()
+		f.admission.Stop()
+		router.Stop()
+		Expect(group.Wait()).To(Succeed())
+	})
+	return f
+}
--- /dev/null
+++ b/gate/spec.go
@@ -0,0 +1,77 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/result"
+)
+
+// The bounds of what a caller may ask for.
+const (
+	// maxTasks bounds the tasks of one request.
+	maxTasks = 10000
+	// maxAmount bounds each resource of one task.
+	maxAmount = 1 << 40
+	// maxEstimate bounds the declared run time of a task.
+	maxEstimate = 30 * 24 * time.Hour
+	// maxPayloadBytes bounds the payload, which every task carries.
+	maxPayloadBytes = 64 << 10
+	// maxNameBytes bounds idempotency keys and names.
+	maxNameBytes = 200
+)
+
+// Complete checks the spec under the configuration and returns it with its
+// defaults filled in, or an error with a result code.
+func Complete(spec model.Spec, config *model.Config) (model.Spec, *result.Error) {
+	if spec.Kind == "" {
+		spec.Kind = model.Batch
+	}
+	if spec.Tasks == 0 {
+		spec.Tasks = 1
+	}
+	if spec.Size[model.Slots] == 0 {
+		spec.Size[model.Slots] = 1
+	}
+	if problem := shapeProblem(&spec); problem != "" {
+		return spec, &result.Error{Code: result.Malformed, Reason: problem}
+	}
+	if len(spec.Payload) > maxPayloadBytes {
+		return spec, &result.Error{Code: result.TooLarge, Reason: "the payload is too large"}
+	}
+	if _, known := config.Class(spec.Class); !known {
+		return spec, &result.Error{Code: result.UnknownClass, Reason: "there is no such class of work"}
+	}
+	return spec, nil
+}
+
+func shapeProblem(spec *model.Spec) string {
+	switch {
+	case spec.Kind != model.Batch && spec.Kind != model.Gang && spec.Kind != model.Service:
+		return "kind is none of batch, gang and service"
+	case spec.Tasks < 1 || spec.Tasks > maxTasks:
+		return "tasks is out of range"
+	case spec.Estimate < 0 || spec.Estimate > maxEstimate:
+		return "estimate_ns is out of range"
+	}
+	for _, amount := range spec.Size {
+		if amount < 0 || amount > maxAmount {
+			return "size is out of range"
+		}
+	}
+	return ""
+}
+
+// CheckKey checks the shape of an idempotency key: printable ASCII without
+// spaces, at most maxNameBytes long.
+func CheckKey(key model.IdempotencyKey) *result.Error {
+	if key == "" || len(key) > maxNameBytes {
+		return &result.Error{Code: result.Malformed, Reason: "the idempotency key is missing or too long"}
+	}
+	for _, b := range []byte(key) {
+		if b <= ' ' || b > '~' {
+			return &result.Error{Code: result.Malformed, Reason: "the idempotency key holds a character other than printable ASCII"}
+		}
+	}
+	return nil
+}
