Explain requests and show the fleet's standing through the gate

Holders answer Explain and Status; the gate shows a team its own standing only, operators and auditors everything, and names the shards that do not answer.

--- a/gate/admission.go
+++ b/gate/admission.go
@@ -29,10 +29,13 @@
 const (
 	// Submitting hands in a request.
 	Submitting Verb = iota
-	// Reading asks for the answer to a request or for what is known of it.
+	// Reading asks for the answer to a request.
 	Reading
 	// Cancelling ends a request.
 	Cancelling
+	// Inspecting asks why a request waits or how the fleet stands. Keys of every
+	// role may.
+	Inspecting
 )
 
 // Admission is the duty that owns the keys in force and the visits under way.
@@ -230,6 +233,9 @@
 		return
 	}
 	g.key, g.team = key, key.Team
+	if key.Role != model.Submitter && verb == Inspecting {
+		return
+	}
 	if key.Role != model.Submitter {
 		g.refuse(result.NotAllowed, "the key's role may not submit, read or cancel work")
 		return
--- a/gate/httpapi/holder_test.go
+++ b/gate/httpapi/holder_test.go
@@ -56,6 +56,15 @@
 		return h.await(ctx, message, into)
 	case peer.CancelRequest:
 		into.Answer = result.Answer(message.ID, result.Cancelled, "cancelled")
+	case peer.ExplainRequest:
+		into.Answer = result.Answer(message.ID, result.Pending, "")
+		into.Explanation = &peer.Explanation{State: "queued", Position: 3, Reason: "as " + string(message.Team)}
+	case peer.StatusRequest:
+		into.Answer = model.Answer{Code: int(result.OK)}
+		into.Status = &peer.ShardStatus{Shard: message.Shard, Teams: []peer.TeamStatus{{Team: "north"}, {Team: "south"}}}
+		if message.Shard.Domain == "b" {
+			return peerrpc.ErrNoReply
+		}
 	}
 	return nil
 }
--- a/gate/httpapi/httpapi.go
+++ b/gate/httpapi/httpapi.go
@@ -3,6 +3,8 @@
 //	POST   /v1/requests?wait=10s       hands in a request (a model.Spec)
 //	GET    /v1/requests/{id}?wait=10s  asks for its answer (a model.Answer)
 //	DELETE /v1/requests/{id}           cancels it
+//	GET    /v1/requests/{id}/explain   says why it waits (a gate.Account)
+//	GET    /v1/status                  says how the fleet stands (a gate.Status)
 //
 // The key comes as "Authorization: Bearer KEY", the caller's name for the
 // request as "Idempotency-Key". The status is the result code's; the answer's
@@ -79,6 +81,8 @@
 	mux.HandleFunc("POST /v1/requests", api.serve(gate.Submitting, api.submit))
 	mux.HandleFunc("GET /v1/requests/{id}", api.serve(gate.Reading, api.await))
 	mux.HandleFunc("DELETE /v1/requests/{id}", api.serve(gate.Cancelling, api.cancel))
+	mux.HandleFunc("GET /v1/requests/{id}/explain", api.explain)
+	mux.HandleFunc("GET /v1/status", api.status)
 	return mux
 }
 
@@ -95,16 +99,13 @@
 func (a *api) serve(verb gate.Verb, do work) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, a.limits.MaxBodyBytes)
-		a.write(w, a.answer(w, r, verb, do))
+		answer := a.answer(w, r, verb, do)
+		a.write(w, result.Code(answer.Code), answer)
 	}
 }
 
 func (a *api) answer(w http.ResponseWriter, r *http.Request, verb gate.Verb, do work) model.Answer {
-	secret, problem := DecodeSecret(r.Header)
-	if problem != nil {
-		return refusal(verb, problem)
-	}
-	visit, problem := a.gate.Enter(r.Context(), secret, verb)
+	visit, problem := a.enter(r, verb)
 	if problem != nil {
 		return refusal(verb, problem)
 	}
@@ -116,6 +117,15 @@
 	return answer
 }
 
+// enter admits the caller with the key of the request.
+func (a *api) enter(r *http.Request, verb gate.Verb) (*gate.Visit, *result.Error) {
+	secret, problem := DecodeSecret(r.Header)
+	if problem != nil {
+		return nil, problem
+	}
+	return a.gate.Enter(r.Context(), secret, verb)
+}
+
 func (a *api) submit(v *gate.Visit, w http.ResponseWriter, r *http.Request) model.Answer {
 	wait, problem := DecodeWait(r.URL.Query().Get("wait"))
 	if problem != nil {
@@ -154,18 +164,18 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
-// write sends the answer with its code's status.
-func (a *api) write(w http.ResponseWriter, answer model.Answer) {
+// write sends the body with the code's status.
+func (a *api) write(w http.ResponseWriter, code result.Code, body any) {
 	// A server without deadlines (a test's recorder) leaves them out.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(a.limits.WriteTimeout))
-	status := Status(result.Code(answer.Code))
+	status := Status(code)
 	w.Header().Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
 	w.WriteHeader(status)
 	// An answer that the client does not take is asked for again by its id.
-	_ = json.NewEncoder(w).Encode(answer)
+	_ = json.NewEncoder(w).Encode(body)
 }
 
 // refusal is the answer to a caller who was not admitted or not understood. To
--- a/gate/visit.go
+++ b/gate/visit.go
@@ -12,9 +12,11 @@
 
 // The methods of the scheduler's service.
 const (
-	methodSubmit = "Submit"
-	methodAwait  = "Await"
-	methodCancel = "Cancel"
+	methodSubmit  = "Submit"
+	methodAwait   = "Await"
+	methodCancel  = "Cancel"
+	methodExplain = "Explain"
+	methodStatus  = "Status"
 )
 
 // slicePause is the time between two questions about one answer.
@@ -182,6 +184,13 @@
 	if err != nil {
 		return routing.Outcome{}
 	}
+	outcome := v.callHolder(home, method, exposes, extra, args)
+	outcome.Reply.Answer.ID = id
+	return outcome
+}
+
+// callHolder asks the holder of the shard.
+func (v *Visit) callHolder(home model.ShardID, method string, exposes bool, extra time.Duration, args func(hops int) any) routing.Outcome {
 	try := v.gate.settings.Try
 	ctx, cancel := context.WithTimeout(v.ctx, try+extra)
 	defer cancel()
@@ -189,9 +198,7 @@
 	if !exposes {
 		question.Try += extra
 	}
-	outcome := v.gate.caller.Call(ctx, question)
-	outcome.Reply.Answer.ID = id
-	return outcome
+	return v.gate.caller.Call(ctx, question)
 }
 
 // known reports whether the id names a shard of the configuration.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -56,4 +56,8 @@
 	// Holder is the address of the process to ask instead, when the code is
 	// NotHolder and it is known.
 	Holder string
+	// Explanation answers an ExplainRequest.
+	Explanation *Explanation
+	// Status answers a StatusRequest.
+	Status *ShardStatus
 }
