--- /dev/null
+++ b/sched/instances.go
@@ -0,0 +1,85 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/shard"
+)
+
+// fleetPolls is the number of polls of the own domain for each poll of all
+// domains.
+const fleetPolls = 10
+
+// instancesDuty is the handler of the duty that polls the instance list.
+type instancesDuty struct {
+	id       model.ShardID
+	list     platform.InstanceList
+	clock    clock.Clock
+	period   time.Duration
+	timeout  time.Duration
+	config   func() *model.Config
+	post     func(Message)
+	polls    int
+	nextPoll time.Time
+}
+
+// pollNow asks for a poll before the next one is due.
+type pollNow struct{}
+
+// Handle polls the list when it is due.
+func (d *instancesDuty) Handle([]pollNow) time.Duration {
+	now := d.clock.Now()
+	if now.Before(d.nextPoll) {
+		return d.nextPoll.Sub(now)
+	}
+	d.nextPoll = now.Add(d.period)
+	config := d.config()
+	if config == nil {
+		return d.period
+	}
+	d.pollDomain(config)
+	if d.polls%fleetPolls == 0 {
+		d.pollFleet(config)
+	}
+	d.polls++
+	return d.period
+}
+
+// pollDomain posts the endpoints of this shard. A failed poll says nothing.
+func (d *instancesDuty) pollDomain(config *model.Config) {
+	infos, err := d.read(d.id.Domain)
+	if err != nil {
+		return
+	}
+	domain, _ := config.Domain(d.id.Domain)
+	var mine []model.EndpointInfo
+	for _, info := range infos {
+		if shard.OfEndpoint(d.id.Domain, domain.Shards, info.ID) == d.id {
+			mine = append(mine, info)
+		}
+	}
+	d.post(listed{mine})
+}
+
+// pollFleet posts the endpoints of all failure domains when all are known.
+func (d *instancesDuty) pollFleet(config *model.Config) {
+	var all []model.EndpointInfo
+	for _, domain := range config.Domains {
+		infos, err := d.read(domain.Name)
+		if err != nil {
+			return
+		}
+		all = append(all, infos...)
+	}
+	d.post(fleet{all})
+}
+
+func (d *instancesDuty) read(domain model.DomainName) ([]model.EndpointInfo, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.timeout)
+	defer cancel()
+	return d.list.Endpoints(ctx, domain)
+}
--- /dev/null
+++ b/sched/session.go
@@ -0,0 +1,392 @@
+package sched
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/chart"
+	"github.com/hornbeamworks/hornbeam/charts"
+	"github.com/hornbeamworks/hornbeam/endpoint"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+const (
+	// triesUntilSilent is the number of failed Syncs after which an endpoint
+	// is only probed, so that the leases of its tasks end.
+	triesUntilSilent = 3
+	// reportPeriod is the time between two reports of all that runs at an
+	// endpoint.
+	reportPeriod = 2 * time.Second
+	// firstBackoff is the time to the next try after a failed Sync.
+	firstBackoff = 50 * time.Millisecond
+)
+
+// session is the holder's view of one endpoint. Its life cycle is the chart
+// session. At most one Sync is under way.
+type session struct {
+	shard *Shard
+	info  model.EndpointInfo
+	state chart.State
+	// fenced says that the endpoint has accepted the epoch.
+	fenced bool
+	// onList says that the instance list names the endpoint.
+	onList   bool
+	inflight bool
+	due      time.Time
+	failures int
+	// leasesUntil is when the leases of all tasks there end at the latest.
+	leasesUntil time.Time
+	// adoption is the reply to the first Sync under this epoch; last is the
+	// newest, and whole says that it names all that runs.
+	adoption endpoint.SyncReply
+	last     endpoint.SyncReply
+	whole    bool
+	// reportAt is when the endpoint is asked again for all that runs.
+	reportAt time.Time
+
+	attempts map[model.AttemptID]*attempt
+	starts   []*attempt
+	orders   []endpoint.Order
+	acks     []model.AttemptID
+}
+
+// sessionChart is the chart of a session with its events and state sets.
+type sessionChart struct {
+	machine *chart.Machine[session]
+
+	answered chart.Event
+	failed   chart.Event
+	rejected chart.Event
+	removed  chart.Event
+	lapse    chart.Event
+
+	// unadopted are the states in which a Sync adopts the endpoint.
+	unadopted chart.StateSet
+	// placeable are the states in which work may be started.
+	placeable chart.StateSet
+	// probed are the states in which a Sync renews nothing.
+	probed chart.StateSet
+	// failing are the states of endpoints that may not answer.
+	failing chart.StateSet
+	// dead are the states in which nothing of this holder runs there.
+	dead chart.StateSet
+}
+
+func newSessionChart() *sessionChart {
+	m := chart.MustBind(charts.MustLoad("session"), chart.Guards[session]{
+		"tried_enough": func(se *session) bool { return se.failures >= triesUntilSilent },
+	}, chart.Actions[session]{
+		"adopted":     (*session).adopted,
+		"answered":    (*session).news,
+		"reachable":   func(se *session) { se.setReachable(true) },
+		"unreachable": func(se *session) { se.setReachable(false) },
+		"back_off":    (*session).backOff,
+		"give_up":     (*session).giveUp,
+	})
+	return &sessionChart{
+		machine:   m,
+		answered:  m.MustEvent("answered"),
+		failed:    m.MustEvent("failed"),
+		rejected:  m.MustEvent("rejected"),
+		removed:   m.MustEvent("removed"),
+		lapse:     m.MustEvent("lapse"),
+		unadopted: m.MustSet("unknown"),
+		placeable: m.MustSet("synced"),
+		probed:    m.MustSet("silent", "lapsed"),
+		failing:   m.MustSet("suspect", "silent", "lapsed"),
+		dead:      m.MustSet("unknown", "lapsed"),
+	}
+}
+
+// newSession starts to talk to an endpoint.
+func (s *Shard) newSession(info model.EndpointInfo) *session {
+	se := &session{shard: s, info: info, due: s.now, attempts: map[model.AttemptID]*attempt{}}
+	s.sessionChart.machine.Start(&se.state, se)
+	s.sessions[info.ID] = se
+	return se
+}
+
+func (se *session) fire(event chart.Event) {
+	se.shard.sessionChart.machine.Fire(&se.state, event, se)
+}
+
+// enqueue puts a start on its way.
+func (se *session) enqueue(a *attempt) {
+	se.starts = append(se.starts, a)
+	se.dueNow()
+}
+
+func (se *session) order(o endpoint.Order) {
+	if slices.Contains(se.orders, o) {
+		return
+	}
+	se.orders = append(se.orders, o)
+	se.dueNow()
+}
+
+// acknowledge lets the endpoint forget an attempt, with its next Sync.
+func (se *session) acknowledge(id model.AttemptID) {
+	if !slices.Contains(se.acks, id) {
+		se.acks = append(se.acks, id)
+	}
+}
+
+// dueNow makes the next Sync due, unless the endpoint does not answer.
+func (se *session) dueNow() {
+	if se.failures == 0 && se.due.After(se.shard.now) {
+		se.due = se.shard.now
+	}
+}
+
+// forget drops an attempt from the session.
+func (se *session) forget(a *attempt) {
+	delete(se.attempts, a.start.Attempt)
+	se.starts = slices.DeleteFunc(se.starts, func(other *attempt) bool { return other == a })
+	delete(se.shard.attempts, a.start.Attempt)
+}
+
+// update takes what the instance list says of the endpoint.
+func (se *session) update(info model.EndpointInfo) {
+	leaving := se.info.Leaving
+	changed := info != se.info
+	se.info = info
+	se.info.Leaving = info.Leaving || leaving
+	if changed {
+		se.place()
+	}
+}
+
+// place lets the scheduler use the endpoint once the shard's record names it.
+func (se *session) place() {
+	s := se.shard
+	if !s.sessionChart.placeable.Has(se.state) || !s.isMember(se.info.ID) {
+		return
+	}
+	s.policy.SetEndpoint(s.now, se.info)
+	s.policy.Reachable(s.now, se.info.ID, true)
+	s.dirty = true
+}
+
+func (se *session) setReachable(reachable bool) {
+	se.shard.policy.Reachable(se.shard.now, se.info.ID, reachable)
+	se.shard.dirty = true
+}
+
+func (se *session) backOff() {
+	se.failures++
+	se.reportAt = se.shard.now
+	wait := min(firstBackoff<<min(se.failures, 10), se.shard.settings.MaxBackoff)
+	se.due = se.shard.now.Add(wait)
+}
+
+// giveUp says that nothing of this holder runs at the endpoint any more.
+func (se *session) giveUp() {
+	s := se.shard
+	lapsed.Add(1)
+	s.logInfo("endpoint_lapsed", endpointAttr(se.info.ID))
+	for _, a := range se.attempts {
+		s.loseAttempt(a)
+	}
+	s.policy.RemoveEndpoint(s.now, se.info.ID)
+	se.orders, se.acks = nil, nil
+	s.dirty = true
+}
+
+// lapseIfOver notices that the leases at an endpoint that does not answer have
+// ended.
+func (se *session) lapseIfOver() {
+	s := se.shard
+	over := s.now.After(se.leasesUntil.Add(s.settings.LeaseMargin))
+	if se.inflight || !over || len(se.attempts) == 0 && se.leasesUntil.IsZero() {
+		return
+	}
+	se.fire(s.sessionChart.lapse)
+}
+
+// deliver takes what came of one Sync.
+func (m synced) deliver(s *Shard) {
+	s.busy[m.worker]--
+	if m.epoch != s.epoch || !s.holding() {
+		return
+	}
+	se := s.sessions[m.id]
+	if se == nil {
+		return
+	}
+	se.inflight = false
+	if m.withheld {
+		se.takeBack(m.request)
+		return
+	}
+	if m.request.Lease > 0 {
+		se.leasesUntil = m.endedAt.Add(m.request.Lease)
+	}
+	se.settle(m)
+}
+
+// settle turns the result into an event of the session.
+func (se *session) settle(m synced) {
+	s := se.shard
+	if m.err == nil {
+		se.failures = 0
+		se.note(m)
+		s.proof.Accepted(se.info.ID, m.sentAt)
+		se.due = s.now.Add(se.period())
+		se.results(m.reply.Results)
+		se.fire(s.sessionChart.answered)
+		return
+	}
+	syncsFailed.Add(1)
+	se.requeue(m.request)
+	if errors.Is(m.err, endpoint.ErrFenced) {
+		s.logInfo("endpoint_fenced", endpointAttr(se.info.ID))
+		s.fire(s.chart.lost)
+		return
+	}
+	if errors.Is(m.err, endpoint.ErrRejected) {
+		se.rejectAll(m.request)
+		se.fire(s.sessionChart.rejected)
+		return
+	}
+	se.fire(s.sessionChart.failed)
+}
+
+// note keeps the endpoint's answer.
+func (se *session) note(m synced) {
+	if !se.fenced {
+		se.fenced = true
+		se.adoption = m.reply
+	}
+	se.last = m.reply
+	se.whole = m.request.Adopt || m.request.Report
+	if se.whole {
+		se.reportAt = se.shard.now.Add(reportPeriod)
+	}
+}
+
+// period is the time to the next Sync when nothing else asks for one.
+func (se *session) period() time.Duration {
+	if len(se.attempts) > 0 || len(se.acks) > 0 {
+		return se.shard.settings.SyncPeriod
+	}
+	return se.shard.settings.IdlePeriod
+}
+
+// adopted takes the first answer under this epoch, or after a lapse.
+func (se *session) adopted() {
+	se.place()
+	se.news()
+}
+
+// news takes the newest answer. Until the shard serves, it is only kept: the
+// endpoint repeats what has not been acknowledged.
+func (se *session) news() {
+	s := se.shard
+	if s.chart.settling.Has(s.state) {
+		se.apply(se.last, se.whole)
+	}
+}
+
+// apply takes what the endpoint says of its attempts.
+func (se *session) apply(reply endpoint.SyncReply, whole bool) {
+	s := se.shard
+	for _, f := range reply.Finished {
+		s.finish(se, f)
+	}
+	if whole {
+		se.compare(reply.Running)
+		s.policy.Report(s.now, se.info.ID, reply.Running)
+	}
+	if reply.Leaving && !se.info.Leaving {
+		se.info.Leaving = true
+		se.place()
+	}
+}
+
+// compare brings what runs there and what should together.
+func (se *session) compare(running []model.Running) {
+	s := se.shard
+	present := make(map[model.AttemptID]bool, len(running))
+	for _, r := range running {
+		present[r.Attempt] = true
+		if a := se.attempts[r.Attempt]; a != nil && a.sent {
+			s.confirm(a)
+			continue
+		}
+		se.order(endpoint.Order{Attempt: r.Attempt, Control: endpoint.Stop})
+	}
+	for id, a := range se.attempts {
+		if a.sent && !present[id] {
+			se.miss(a)
+		}
+	}
+}
+
+// miss handles an attempt that was sent and that the endpoint does not know.
+// One that may run again is sent again under its name, which the endpoint
+// starts once at most.
+func (se *session) miss(a *attempt) {
+	s := se.shard
+	if a.confirmed || a.record.request.Spec.NotRepeatable {
+		s.loseAttempt(a)
+		return
+	}
+	a.sent = false
+	s.settle(a.record)
+	se.enqueue(a)
+}
+
+// results takes the endpoint's word on the starts.
+func (se *session) results(results []endpoint.StartResult) {
+	s := se.shard
+	for _, result := range results {
+		a := se.attempts[result.Attempt]
+		if a == nil || a.confirmed {
+			continue
+		}
+		if result.Started {
+			s.confirm(a)
+			continue
+		}
+		s.reject(a)
+	}
+}
+
+// requeue keeps the orders and acknowledgements of a failed Sync; both can be
+// repeated.
+func (se *session) requeue(request endpoint.SyncRequest) {
+	for _, o := range request.Orders {
+		if !slices.Contains(se.orders, o) {
+			se.orders = append(se.orders, o)
+		}
+	}
+	for _, id := range request.Acknowledged {
+		se.acknowledge(id)
+	}
+}
+
+// takeBack undoes a Sync that was not sent.
+func (se *session) takeBack(request endpoint.SyncRequest) {
+	syncsWithheld.Add(1)
+	se.requeue(request)
+	se.due = se.shard.now.Add(firstBackoff)
+	for _, start := range request.Starts {
+		a := se.attempts[start.Attempt]
+		if a == nil {
+			continue
+		}
+		a.sent = false
+		se.shard.settle(a.record)
+		se.starts = append(se.starts, a)
+	}
+}
+
+// rejectAll takes a Sync that had no effect.
+func (se *session) rejectAll(request endpoint.SyncRequest) {
+	for _, start := range request.Starts {
+		if a := se.attempts[start.Attempt]; a != nil {
+			se.shard.reject(a)
+		}
+	}
+}
--- /dev/null
+++ b/sched/takeover.go
@@ -0,0 +1,317 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hornbeamworks/hornbeam/journal"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy"
+)
+
+// attemptsPerEpoch is the distance between the attempt numbers of two epochs.
+const attemptsPerEpoch = 1000
+
+// advance fires what the time and the endpoints' answers have brought about.
+func (s *Shard) advance() {
+	if s.chart.adopting.Has(s.state) {
+		s.advanceTakeover()
+	}
+	if s.chart.draining.Has(s.state) && s.quiet() {
+		s.fire(s.chart.quiet)
+	}
+	if s.chart.left.Has(s.state) && s.now.After(s.redirectUntil) {
+		s.fire(s.chart.stop)
+	}
+	if !s.holding() {
+		return
+	}
+	for _, se := range s.sessions {
+		se.lapseIfOver()
+	}
+	if s.serving() {
+		s.proposeMembers()
+	}
+}
+
+// advanceTakeover counts the endpoints that have accepted the epoch.
+func (s *Shard) advanceTakeover() {
+	fenced := 0
+	for _, m := range s.members {
+		if s.sessions[m.ID].fenced {
+			fenced++
+		}
+	}
+	if fenced == len(s.members) {
+		s.fire(s.chart.allFenced)
+		return
+	}
+	if fenced > len(s.members)/2 {
+		s.fire(s.chart.majorityFenced)
+	}
+	if !s.waitUntil.IsZero() && s.now.After(s.waitUntil) {
+		s.fire(s.chart.waited)
+	}
+}
+
+// quiet reports whether nothing is under way that the hand-over would cut off,
+// or that the time for it is over.
+func (s *Shard) quiet() bool {
+	if s.now.After(s.drainUntil) {
+		return true
+	}
+	for _, se := range s.sessions {
+		if se.inflight {
+			return false
+		}
+	}
+	return s.unrecorded() == 0
+}
+
+// handOverAll gives every request to the scheduler: from here on work starts.
+func (s *Shard) handOverAll() {
+	for _, se := range s.sessions {
+		se.place()
+		s.inherit(se)
+	}
+	for _, r := range s.active {
+		if r.former {
+			s.adopt(r)
+			continue
+		}
+		s.handOver(r)
+	}
+	for _, se := range s.sessions {
+		if se.fenced {
+			se.apply(se.adoption, true)
+		}
+	}
+	s.dirty = true
+}
+
+// inherit notes what the endpoint runs, or has ended, of open requests.
+func (s *Shard) inherit(se *session) {
+	for _, r := range se.adoption.Running {
+		if r.Request != nil {
+			s.inheritAttempt(se, r.Attempt, r.Size, r.Request)
+		}
+	}
+	for _, f := range se.adoption.Finished {
+		if f.Request != nil {
+			s.inheritAttempt(se, f.Attempt, f.Request.Spec.Size, f.Request)
+		}
+	}
+}
+
+func (s *Shard) inheritAttempt(se *session, id model.AttemptID, size model.Resources, request *model.Request) {
+	r := s.records[request.ID]
+	if r == nil && !request.Spec.NotRepeatable {
+		r = s.restoreEarly(request)
+	}
+	if r == nil || r.answer != nil || r.hasPart(id.Task.Index) {
+		return
+	}
+	start := policy.Start{Attempt: id, Endpoint: se.info.ID, Size: size, Request: r.request}
+	for i, other := range r.inherited.running {
+		if other.Attempt.Task != id.Task {
+			continue
+		}
+		if other.Attempt.Number < id.Number {
+			r.inherited.running[i] = start
+		}
+		return
+	}
+	r.inherited.running = append(r.inherited.running, start)
+}
+
+// restoreEarly makes the record of a request that ran before its acceptance
+// was on record.
+func (s *Shard) restoreEarly(request *model.Request) *record {
+	r := s.newRecord(request)
+	r.former = true
+	r.recordAcceptance()
+	r.fire(s.recordChart.adopted)
+	return r
+}
+
+// adopt hands a former holder's request to the scheduler.
+func (s *Shard) adopt(r *record) {
+	adoption := policy.Adoption{Request: r.request, Running: r.inherited.running}
+	for _, p := range r.parts {
+		adoption.Done = append(adoption.Done, p.Index)
+	}
+	for _, start := range adoption.Running {
+		adoption.Started = append(adoption.Started, start.Attempt)
+		s.adoptAttempt(r, start)
+	}
+	for _, intent := range r.inherited.intents {
+		known := slices.ContainsFunc(adoption.Started, func(id model.AttemptID) bool { return id.Task == intent.Attempt.Task })
+		if known || r.hasPart(intent.Attempt.Task.Index) {
+			continue
+		}
+		r.uncertain = true
+		adoption.Started = append(adoption.Started, intent.Attempt)
+		adoption.Lost = append(adoption.Lost, intent.Attempt)
+	}
+	if !r.request.Spec.NotRepeatable {
+		adoption.Started = append(adoption.Started, s.numberFrom(r)...)
+	}
+	r.inherited = inheritance{}
+	r.handed = true
+	s.policy.Adopt(s.now, adoption)
+}
+
+// numberFrom lets the attempts of this epoch be numbered above those of any
+// former one, which are not on record.
+func (s *Shard) numberFrom(r *record) []model.AttemptID {
+	var from []model.AttemptID
+	for index := range r.request.Spec.Tasks {
+		task := model.TaskID{Request: r.request.ID, Index: index}
+		running := slices.ContainsFunc(r.inherited.running, func(start policy.Start) bool { return start.Attempt.Task == task })
+		if !running && !r.hasPart(index) {
+			from = append(from, model.AttemptID{Task: task, Number: int(s.epoch) * attemptsPerEpoch})
+		}
+	}
+	return from
+}
+
+// adoptAttempt takes over an attempt that runs or whose end is not on record.
+func (s *Shard) adoptAttempt(r *record, start policy.Start) {
+	a := &attempt{start: start, record: r, sent: true, confirmed: true}
+	r.ran = true
+	s.attempts[start.Attempt] = a
+	s.sessions[start.Endpoint].attempts[start.Attempt] = a
+}
+
+// hasPart reports whether the task has succeeded.
+func (r *record) hasPart(index int) bool {
+	return slices.ContainsFunc(r.parts, func(p model.Part) bool { return p.Index == index })
+}
+
+// proposeMembers puts a change of the shard's endpoints on record. Work starts
+// only at endpoints on record; one is taken off only when it is off the
+// instance list and nothing can run there.
+func (s *Shard) proposeMembers() {
+	if s.proposed != nil {
+		return
+	}
+	desired := []model.EndpointInfo{}
+	for id, se := range s.sessions {
+		if !se.onList && s.listKnown && s.sessionChart.dead.Has(se.state) && len(se.attempts) == 0 {
+			se.fire(s.sessionChart.removed)
+			delete(s.sessions, id)
+			continue
+		}
+		if s.isMember(id) || se.fenced {
+			desired = append(desired, se.recorded())
+		}
+	}
+	slices.SortFunc(desired, func(a, b model.EndpointInfo) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if slices.Equal(ids(desired), ids(s.members)) {
+		return
+	}
+	s.proposed = desired
+	s.proof.SetMembers(ids(s.members), ids(desired))
+	s.append(journal.Entry{Members: &journal.Members{Endpoints: desired}}, membersDurable{})
+}
+
+// recorded is what the record says of the endpoint.
+func (se *session) recorded() model.EndpointInfo {
+	info := se.info
+	info.Leaving = false
+	return info
+}
+
+func (s *Shard) isMember(id model.EndpointID) bool {
+	return slices.ContainsFunc(s.members, func(m model.EndpointInfo) bool { return m.ID == id })
+}
+
+func (m listed) deliver(s *Shard) {
+	s.listed = m.endpoints
+	s.listKnown = true
+	if s.holding() && !s.chart.replaying.Has(s.state) {
+		s.takeList()
+	}
+}
+
+// takeList brings the sessions up to the instance list.
+func (s *Shard) takeList() {
+	for _, se := range s.sessions {
+		se.onList = false
+	}
+	for _, info := range s.listed {
+		se := s.sessions[info.ID]
+		if se == nil {
+			se = s.newSession(info)
+		}
+		se.onList = true
+		se.update(info)
+	}
+	s.policy.SetFleet(s.fleetKnown())
+}
+
+func (m fleet) deliver(s *Shard) {
+	s.fleet = m.endpoints
+	if s.holding() {
+		s.policy.SetFleet(s.fleet)
+	}
+}
+
+func (m configured) deliver(s *Shard) {
+	if s.config != nil && m.config.Version <= s.config.Version {
+		return
+	}
+	s.config = m.config
+	if s.holding() {
+		s.policy.SetConfig(s.now, s.config)
+		s.setParts()
+		s.dirty = true
+	}
+	if m.applied != nil {
+		m.applied(m.config.Version)
+	}
+}
+
+func (m parted) deliver(s *Shard) {
+	s.parts[m.team] = m.part
+	if s.holding() {
+		s.policy.SetPart(m.team, m.part)
+		s.dirty = true
+	}
+}
+
+// setParts gives the scheduler the shard's parts of the teams' limits. A team
+// without a part has none: nothing of it starts.
+func (s *Shard) setParts() {
+	if s.config == nil {
+		return
+	}
+	for _, team := range s.config.Teams {
+		s.policy.SetPart(team.Name, s.part(team))
+	}
+}
+
+// part returns the shard's part of the team's limit: an even one unless the
+// shards divide the limit by demand.
+func (s *Shard) part(team model.Team) model.Resources {
+	if s.settings.DividedParts {
+		return s.parts[team.Name]
+	}
+	shards := int64(0)
+	for _, domain := range s.config.Domains {
+		shards += int64(domain.Shards)
+	}
+	part := team.Limit
+	for i := range part {
+		part[i] /= max(shards, 1)
+	}
+	return part
+}
+
+func (m standings) deliver(s *Shard) {
+	if !s.holding() {
+		m.reply <- nil
+		return
+	}
+	m.reply <- s.policy.Standings(nil)
+}
