Let a Sync without a lease shorten none

Cause: a holder that is not certain of its shard probes its endpoints without a lease; the stand-in took that for a lease of no time and stopped all tasks.

Change: a Sync only prolongs leases.

Conclusion: the new case failed before the change; go test ./standin passes.

--- a/audit/records.go
+++ b/audit/records.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"slices"
-	"strings"
 
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/standin"
@@ -43,7 +42,7 @@
 func recordedConfigs(records []standin.Record) []ConfigChange {
 	var changes []ConfigChange
 	for _, r := range records {
-		if r.Kind != standin.Written || !strings.HasPrefix(r.Key, configKey) {
+		if r.Kind != standin.Written || r.Key != configKey {
 			continue
 		}
 		config := &model.Config{}
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -107,6 +107,22 @@
 		Expect(reply.Finished[0].Elapsed).To(Equal(2*lease - time.Millisecond))
 	})
 
+	It("shortens no lease by a Sync without one", func(ctx SpecContext) {
+		b := newBench()
+		b.adopted(ctx, one("0-a-a", time.Minute))
+		probe := endpoint.SyncRequest{Shard: model.ShardID{Domain: "a"}, Epoch: 1, Report: true}
+		for range 2 {
+			b.clock.Advance(lease / 4)
+			reply, err := b.remoteEndpoint.Sync(ctx, b.info, probe)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Running).To(HaveLen(1))
+		}
+		b.clock.Advance(lease / 2)
+		reply, err := b.remoteEndpoint.Sync(ctx, b.info, probe)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Running).To(BeEmpty())
+	})
+
 	It("refuses what does not fit and records it", func(ctx SpecContext) {
 		b := newBench()
 		reply := b.adopted(ctx, one("0-a-a", time.Minute), one("0-b-a", time.Minute), one("0-c-a", time.Minute))
--- a/standin/host.go
+++ b/standin/host.go
@@ -136,15 +136,18 @@
 	return nil
 }
 
+// renew prolongs the leases of all that runs. A Sync without a lease, or one
+// that ends earlier, shortens none.
 func (h *host) renew(lease time.Duration) {
-	count := 0
+	until := h.now.Add(lease)
+	renewed := false
 	for _, a := range h.attempts {
-		if a.running() {
-			a.lease = h.now.Add(lease)
-			count++
+		if a.running() && a.lease.Before(until) {
+			a.lease = until
+			renewed = true
 		}
 	}
-	if count > 0 {
+	if renewed {
 		h.record(h.now, Record{Kind: Renewed})
 	}
 }
