--- a/client/caller.go
+++ b/client/caller.go
@@ -58,6 +58,12 @@
 	pause      *backoff.ExponentialBackOff
 }
 
+func newErrand() *errand {
+	e := &errand{pause: newPause()}
+	life.Start(&e.state, e)
+	return e
+}
+
 // life is the chart of a careful caller's request.
 var life = chart.MustBind(charts.MustLoad("caller"), chart.Guards[errand]{}, chart.Actions[errand]{})
 
@@ -98,10 +104,30 @@
 
 // Do hands in the request and asks on until it is answered or ctx ends.
 func (c *Caller) Do(ctx context.Context, key model.IdempotencyKey, spec model.Spec) Conclusion {
-	e := &errand{pause: newPause()}
-	life.Start(&e.state, e)
+	e := newErrand()
+	return c.run(ctx, e, func() (model.Answer, error) {
+		if submitting.Has(e.state) {
+			return c.Entry().Submit(ctx, key, spec, c.wait)
+		}
+		return c.Entry().Await(ctx, e.conclusion.ID, c.wait)
+	})
+}
+
+// Wait asks for the answer to an accepted request until it is answered or ctx
+// ends.
+func (c *Caller) Wait(ctx context.Context, id model.RequestID) Conclusion {
+	e := newErrand()
+	e.conclusion.ID = id
+	life.Fire(&e.state, evPending, e)
+	return c.run(ctx, e, func() (model.Answer, error) {
+		return c.Entry().Await(ctx, id, c.wait)
+	})
+}
+
+// run makes calls until the errand is over.
+func (c *Caller) run(ctx context.Context, e *errand, step func() (model.Answer, error)) Conclusion {
 	for !life.Final(e.state) {
-		answer, err := c.step(ctx, e, key, spec)
+		answer, err := step()
 		event := classify(answer, err)
 		if ctx.Err() != nil && event != evFinal {
 			event = evExpired
@@ -119,14 +145,6 @@
 	return e.conclusion
 }
 
-// step makes the next call of the request.
-func (c *Caller) step(ctx context.Context, e *errand, key model.IdempotencyKey, spec model.Spec) (model.Answer, error) {
-	if submitting.Has(e.state) {
-		return c.Entry().Submit(ctx, key, spec, c.wait)
-	}
-	return c.Entry().Await(ctx, e.conclusion.ID, c.wait)
-}
-
 // note fires the event and keeps what was learned.
 func (e *errand) note(event chart.Event, answer model.Answer, err error) {
 	e.conclusion.Calls++
@@ -143,9 +161,7 @@
 	if answer.ID != "" {
 		e.conclusion.ID = answer.ID
 	}
-	if !e.conclusion.Answered {
-		e.conclusion.Answer = answer
-	}
+	e.conclusion.Answer = answer
 }
 
 // classify names the event that an answer or its absence is.
--- /dev/null
+++ b/cmd/hornbeamctl/access.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v2"
+
+	"github.com/hornbeamworks/hornbeam/client"
+)
+
+// The flags of all commands.
+const (
+	flagGate    = "gate"
+	flagKeyFile = "key-file"
+	flagOutput  = "output"
+)
+
+// keyVariable is the environment variable that may hold the key.
+const keyVariable = "HORNBEAM_KEY"
+
+// waitSlice is the wait asked for in one call.
+const waitSlice = 10 * time.Second
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name: flagGate, Usage: "use the entry instance or balancer at `URL`; may be repeated",
+			EnvVars: []string{"HORNBEAM_GATE"}, Value: cli.NewStringSlice("http://127.0.0.1:7080"),
+		},
+		&cli.StringFlag{Name: flagKeyFile, Usage: "read the key from `FILE`", EnvVars: []string{"HORNBEAM_KEY_FILE"}},
+		&cli.StringFlag{Name: flagOutput, Usage: "write as `FORMAT`: text or json", Value: outputText, Action: checkOutput},
+	}
+}
+
+// secret returns the key; empty when none is given, as for open classes.
+func secret(c *cli.Context) (string, error) {
+	file := c.String(flagKeyFile)
+	if file == "" {
+		return os.Getenv(keyVariable), nil
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return "", cli.Exit(eris.Wrap(err, "reading the key").Error(), exitUsage)
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// caller returns a careful caller that uses all entry instances given.
+func caller(c *cli.Context, wait time.Duration) (*client.Caller, error) {
+	key, err := secret(c)
+	if err != nil {
+		return nil, err
+	}
+	var entries []*client.Client
+	for _, base := range c.StringSlice(flagGate) {
+		entries = append(entries, client.New(base, key, http.DefaultClient))
+	}
+	return client.NewCaller(entries, wait), nil
+}
