--- a/gate/httpapi/hostile_test.go
+++ b/gate/httpapi/hostile_test.go
@@ -78,6 +78,7 @@
 		f = newFront(settings, httpapi.DefaultLimits())
 		id := f.submit("half-open").ID
 		connection := dial("GET /v1/requests/" + string(id) + "?wait=25s HTTP/1.1\r\nHost: gate\r\nAuthorization: Bearer " + northSecret + "\r\n\r\n")
+		Eventually(f.holder.awaited).WithTimeout(generous).Should(BeNumerically(">", 0))
 		Eventually(func() result.Code { return result.Code(f.submit("next").Code) }).WithTimeout(generous).Should(Equal(result.Busy))
 		Expect(connection.Close()).To(Succeed())
 		Eventually(func() result.Code { return result.Code(f.submit("next").Code) }).WithTimeout(generous).Should(Equal(result.Pending))
--- a/gate/httpapi/httpapi_test.go
+++ b/gate/httpapi/httpapi_test.go
@@ -144,6 +144,7 @@
 		_, other := f.send(message{method: "POST", path: "/v1/requests", secret: southSecret, key: "s-1", body: screen})
 		withdrawn := f.background(message{method: "GET", path: "/v1/requests/" + string(id) + "?wait=25s", secret: northSecret})
 		staying := f.background(message{method: "GET", path: "/v1/requests/" + string(other.ID) + "?wait=25s", secret: southSecret})
+		Eventually(f.holder.awaited).WithTimeout(generous).Should(BeNumerically(">", 1))
 		next := testConfig(2)
 		next.Keys = next.Keys[1:]
 		Expect(f.admission.SetConfig(next)).To(BeTrue())
@@ -173,6 +174,7 @@
 		f = newFront(settings, httpapi.DefaultLimits())
 		id := f.submit("lot-17").ID
 		waiting := f.background(message{method: "GET", path: "/v1/requests/" + string(id) + "?wait=25s", secret: northSecret})
+		Eventually(f.holder.awaited).WithTimeout(generous).Should(BeNumerically(">", 0))
 		Eventually(func() result.Code { return result.Code(f.submit("lot-17").Code) }).WithTimeout(generous).Should(Equal(result.Busy))
 		_, other := f.send(message{method: "POST", path: "/v1/requests", secret: southSecret, key: "s-2", body: screen})
 		Expect(result.Code(other.Code)).To(Equal(result.Pending))
