Let a Sync that was held up on its way have no effect

A Sync could reach an endpoint long after it was sent, and start or renew a task that a successor, or the holder itself, took for ended. It now names the endpoint's clock as of the last reply and how far that clock may have gone on; an endpoint rejects it otherwise. A Sync without a lease renews nothing: a holder that is not certain of its shard sends only those.

Attempts are also kept with their request, so that an ending does not look through those of all endpoints.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -76,7 +76,14 @@
 	// Report asks for all that runs, with usage. Holders ask every few seconds
 	// and send shorter Syncs in between.
 	Report bool `json:"report,omitempty"`
-	// Lease is how long tasks may run without another Sync.
+	// Stamp is the Stamp of the last reply that the holder has received.
+	Stamp int64 `json:"stamp,omitempty"`
+	// Fresh bounds how late the Sync may take effect: the endpoint rejects it
+	// when its own clock has gone on by more than this since Stamp. Zero
+	// accepts any delay.
+	Fresh time.Duration `json:"fresh_ns,omitempty"`
+	// Lease is how long tasks may run without another Sync; zero renews
+	// nothing.
 	Lease time.Duration `json:"lease_ns"`
 	// Starts are the attempts to be started.
 	Starts []Start `json:"starts,omitempty"`
@@ -107,6 +114,8 @@
 	Running []model.Running `json:"running,omitempty"`
 	// Finished are the attempts that have ended and are not acknowledged.
 	Finished []model.Finished `json:"finished,omitempty"`
+	// Stamp is the endpoint's own clock in nanoseconds when it replied.
+	Stamp int64 `json:"stamp,omitempty"`
 	// Leaving says that the endpoint takes nothing new.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/sched/holder.go
+++ b/sched/holder.go
@@ -195,7 +195,7 @@
 // beginWait waits out what the former holder could still start or keep alive
 // at endpoints that do not answer.
 func (s *Shard) beginWait() {
-	s.waitUntil = s.now.Add(s.settings.StartLease + s.settings.TaskLease + s.settings.LeaseMargin)
+	s.waitUntil = s.now.Add(s.settings.StartLease + s.settings.Fresh + s.settings.TaskLease + s.settings.LeaseMargin)
 }
 
 // stepDown forgets the epoch; callers are sent to the new holder.
--- a/sched/instances.go
+++ b/sched/instances.go
@@ -10,9 +10,13 @@
 	"github.com/hornbeamworks/hornbeam/shard"
 )
 
-// fleetPolls is the number of polls of the own domain for each poll of all
-// domains.
-const fleetPolls = 10
+const (
+	// fleetPolls is the number of polls of the own domain for each poll of all
+	// domains.
+	fleetPolls = 10
+	// firstPoll is the time between two looks for the first configuration.
+	firstPoll = 50 * time.Millisecond
+)
 
 // instancesDuty is the handler of the duty that polls the instance list.
 type instancesDuty struct {
@@ -36,11 +40,11 @@
 	if now.Before(d.nextPoll) {
 		return d.nextPoll.Sub(now)
 	}
-	d.nextPoll = now.Add(d.period)
 	config := d.config()
 	if config == nil {
-		return d.period
+		return firstPoll
 	}
+	d.nextPoll = now.Add(d.period)
 	d.pollDomain(config)
 	if d.polls%fleetPolls == 0 {
 		d.pollFleet(config)
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -59,8 +59,7 @@
 		return
 	}
 	a := &attempt{start: start, record: r}
-	s.attempts[start.Attempt] = a
-	session.attempts[start.Attempt] = a
+	s.track(a, session)
 	if !r.request.Spec.NotRepeatable {
 		session.enqueue(a)
 		return
@@ -69,6 +68,22 @@
 	s.append(journal.Entry{Intent: &intent}, intentDurable{a})
 }
 
+// track keeps the attempt until its fate is known.
+func (s *Shard) track(a *attempt, session *session) {
+	s.attempts[a.start.Attempt] = a
+	session.attempts[a.start.Attempt] = a
+	a.record.attempts = append(a.record.attempts, a)
+}
+
+// markSent says that the start has left, or may have left, this process.
+func (a *attempt) markSent() {
+	if a.sent {
+		return
+	}
+	a.sent = true
+	a.record.unsettled++
+}
+
 // follow sends the start unless it was withdrawn meanwhile.
 func (c intentDurable) follow(s *Shard) {
 	a := c.attempt
@@ -90,13 +105,12 @@
 
 // withdraw takes back the request's starts that have not been sent.
 func (s *Shard) withdraw(r *record) {
-	for _, session := range s.sessions {
-		for id, a := range session.attempts {
-			if a.record == r && !a.sent {
-				session.forget(a)
-				s.policy.Reject(s.now, id)
-			}
+	for _, a := range slices.Clone(r.attempts) {
+		if a.sent {
+			continue
 		}
+		s.drop(a)
+		s.policy.Reject(s.now, a.start.Attempt)
 	}
 }
 
@@ -116,6 +130,7 @@
 		session.forget(a)
 	}
 	delete(s.attempts, a.start.Attempt)
+	a.record.attempts = slices.DeleteFunc(a.record.attempts, func(other *attempt) bool { return other == a })
 	if a.sent && !a.confirmed {
 		s.settle(a.record)
 	}
@@ -126,6 +141,7 @@
 	if a.confirmed {
 		return
 	}
+	a.markSent()
 	a.confirmed = true
 	a.record.ran = true
 	s.settle(a.record)
--- a/sched/record.go
+++ b/sched/record.go
@@ -29,6 +29,8 @@
 	former bool
 	// handed says that the scheduler has the request.
 	handed bool
+	// attempts are those whose fate is not known.
+	attempts []*attempt
 	// unsettled counts the attempts that were sent and not answered for.
 	unsettled int
 	// ran says that an attempt has run.
--- a/sched/session.go
+++ b/sched/session.go
@@ -42,6 +42,8 @@
 	adoption endpoint.SyncReply
 	last     endpoint.SyncReply
 	whole    bool
+	// stampedAt is the local time at which the newest reply came.
+	stampedAt time.Time
 	// reportAt is when the endpoint is asked again for all that runs.
 	reportAt time.Time
 
@@ -142,8 +144,12 @@
 // forget drops an attempt from the session.
 func (se *session) forget(a *attempt) {
 	delete(se.attempts, a.start.Attempt)
+	se.unqueue(a)
+}
+
+// unqueue takes a start out of those that wait to be sent.
+func (se *session) unqueue(a *attempt) {
 	se.starts = slices.DeleteFunc(se.starts, func(other *attempt) bool { return other == a })
-	delete(se.shard.attempts, a.start.Attempt)
 }
 
 // update takes what the instance list says of the endpoint.
@@ -220,7 +226,7 @@
 		return
 	}
 	if m.request.Lease > 0 {
-		se.leasesUntil = m.endedAt.Add(m.request.Lease)
+		se.leasesUntil = m.sentAt.Add(m.request.Fresh + m.request.Lease)
 	}
 	se.settle(m)
 }
@@ -232,7 +238,7 @@
 		se.failures = 0
 		se.note(m)
 		s.proof.Accepted(se.info.ID, m.sentAt)
-		se.due = s.now.Add(se.period())
+		se.due = s.now.Add(se.period(m.request))
 		se.results(m.reply.Results)
 		se.fire(s.sessionChart.answered)
 		return
@@ -259,14 +265,26 @@
 		se.adoption = m.reply
 	}
 	se.last = m.reply
+	se.stampedAt = m.endedAt
 	se.whole = m.request.Adopt || m.request.Report
 	if se.whole {
 		se.reportAt = se.shard.now.Add(reportPeriod)
 	}
 }
 
-// period is the time to the next Sync when nothing else asks for one.
-func (se *session) period() time.Duration {
+// stale reports whether the newest reply is so old that the endpoint might
+// reject a Sync that refers to it.
+func (se *session) stale() bool {
+	return se.shard.now.Sub(se.stampedAt) > se.shard.settings.Fresh/2
+}
+
+// period is the time to the next Sync when nothing else asks for one. A Sync
+// without a lease is followed by one with it.
+func (se *session) period(last endpoint.SyncRequest) time.Duration {
+	waits := last.Lease == 0 || len(se.starts) > 0 || len(se.orders) > 0
+	if waits && se.shard.now.Before(se.shard.proof.Until()) {
+		return 0
+	}
 	if len(se.attempts) > 0 || len(se.acks) > 0 {
 		return se.shard.settings.SyncPeriod
 	}
@@ -310,7 +328,8 @@
 	present := make(map[model.AttemptID]bool, len(running))
 	for _, r := range running {
 		present[r.Attempt] = true
-		if a := se.attempts[r.Attempt]; a != nil && a.sent {
+		if a := se.attempts[r.Attempt]; a != nil {
+			se.unqueue(a)
 			s.confirm(a)
 			continue
 		}
--- a/sched/settings.go
+++ b/sched/settings.go
@@ -22,6 +22,8 @@
 	Journal journal.Settings
 	// StartLease is how long an endpoint's acceptance vouches for the epoch.
 	StartLease time.Duration
+	// Fresh bounds how late a Sync may take effect at an endpoint.
+	Fresh time.Duration
 	// TaskLease is how long a task may run without a Sync.
 	TaskLease time.Duration
 	// LeaseMargin is waited on top of a task's lease before the task counts as
@@ -74,6 +76,7 @@
 			DownAfter:    500 * time.Millisecond,
 		},
 		StartLease:    time.Second,
+		Fresh:         time.Second,
 		TaskLease:     3 * time.Second,
 		LeaseMargin:   500 * time.Millisecond,
 		SyncWorkers:   8,
--- a/sched/sync.go
+++ b/sched/sync.go
@@ -104,8 +104,9 @@
 	return worker, s.busy[worker] < workerJobs
 }
 
-// job forms the next Sync of the session. A holder that is not certain of its
-// shard only probes.
+// job forms the next Sync of the session. One that adopts, or that only probes,
+// renews and starts nothing, so that it does no harm when it is held up on its
+// way. A holder that is not certain of its shard only probes.
 func (s *Shard) job(se *session) (syncJob, bool) {
 	until := s.proof.Until()
 	certain := s.now.Before(until)
@@ -117,10 +118,15 @@
 	request.Report = !s.now.Before(se.reportAt)
 	se.acks = nil
 	job := syncJob{epoch: s.epoch, info: se.info, request: request}
-	if !certain || s.sessionChart.probed.Has(se.state) {
+	if adopt {
+		job.before = until
+		return job, true
+	}
+	if !certain || se.stale() || s.sessionChart.probed.Has(se.state) {
 		return job, true
 	}
 	job.before = until
+	job.request.Stamp, job.request.Fresh = se.last.Stamp, s.settings.Fresh
 	job.request.Lease = s.settings.TaskLease
 	job.request.Orders, se.orders = se.orders, nil
 	if s.sessionChart.placeable.Has(se.state) {
@@ -134,8 +140,7 @@
 	n := min(len(se.starts), maxStarts)
 	var starts []endpoint.Start
 	for _, a := range se.starts[:n] {
-		a.sent = true
-		a.record.unsettled++
+		a.markSent()
 		starts = append(starts, endpoint.Start{
 			Attempt: a.start.Attempt, Size: a.start.Size, Request: *a.start.Request,
 		})
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -177,10 +177,9 @@
 
 // adoptAttempt takes over an attempt that runs or whose end is not on record.
 func (s *Shard) adoptAttempt(r *record, start policy.Start) {
-	a := &attempt{start: start, record: r, sent: true, confirmed: true}
 	r.ran = true
-	s.attempts[start.Attempt] = a
-	s.sessions[start.Endpoint].attempts[start.Attempt] = a
+	a := &attempt{start: start, record: r, sent: true, confirmed: true}
+	s.track(a, s.sessions[start.Endpoint])
 }
 
 // hasPart reports whether the task has succeeded.
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -123,6 +123,22 @@
 		Expect(reply.Running).To(BeEmpty())
 	})
 
+	It("renews nothing without a lease and rejects what was held up on its way", func(ctx SpecContext) {
+		b := newBench()
+		first := b.adopted(ctx, one("0-a-a", time.Minute))
+		b.clock.Advance(lease - time.Millisecond)
+		_, err := b.remoteEndpoint.Sync(ctx, b.info, endpoint.SyncRequest{Shard: model.ShardID{Domain: "a"}, Epoch: 1})
+		Expect(err).NotTo(HaveOccurred())
+		late := endpoint.SyncRequest{Epoch: 1, Stamp: first.Stamp, Fresh: time.Second, Starts: []endpoint.Start{one("0-b-a", time.Minute)}}
+		_, err = b.sync(ctx, late)
+		Expect(err).To(MatchError(endpoint.ErrRejected))
+		b.clock.Advance(time.Millisecond)
+		reply, err := b.sync(ctx, endpoint.SyncRequest{Epoch: 1, Report: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Running).To(BeEmpty())
+		Expect(reply.Finished[0].Outcome).To(Equal(model.Lapsed))
+	})
+
 	It("refuses what does not fit and records it", func(ctx SpecContext) {
 		b := newBench()
 		reply := b.adopted(ctx, one("0-a-a", time.Minute), one("0-b-a", time.Minute), one("0-c-a", time.Minute))
--- a/standin/host.go
+++ b/standin/host.go
@@ -101,8 +101,11 @@
 	if err := h.fence(request); err != nil {
 		return endpoint.SyncReply{}, err
 	}
+	if request.Fresh > 0 && h.now.UnixNano()-request.Stamp > int64(request.Fresh) {
+		return endpoint.SyncReply{}, eris.Wrap(endpoint.ErrRejected, "held up on its way")
+	}
 	h.renew(request.Lease)
-	reply := endpoint.SyncReply{Leaving: hostLeaving.Has(h.state)}
+	reply := endpoint.SyncReply{Leaving: hostLeaving.Has(h.state), Stamp: h.now.UnixNano()}
 	for _, start := range request.Starts {
 		reply.Results = append(reply.Results, h.start(start, request.Lease))
 	}
