--- a/sched/requests.go
+++ b/sched/requests.go
@@ -145,6 +145,9 @@
 		s.refuse(m.caller, m.request.ID, &result.Error{Code: result.UnknownRequest, Reason: "no such request of this team"})
 	case r.told:
 		m.caller.send(peer.Reply{Answer: *r.answer})
+	case !s.serving():
+		// What a former holder has started is not known yet.
+		s.deferred = append(s.deferred, deferredCall{m, s.waiting(m.caller)})
 	default:
 		m.caller.until = s.now.Add(cancelWait)
 		r.waiters = append(r.waiters, s.waiting(m.caller))
