--- /dev/null
+++ b/escrow/suite_test.go
@@ -0,0 +1,18 @@
+package escrow_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEscrow(t *testing.T) {
+	// A fixed seed makes a failure repeat.
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "escrow")
+}
--- a/membership/suite_test.go
+++ b/membership/suite_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +9,10 @@
 )
 
 func TestMembership(t *testing.T) {
+	// A fixed seed makes a failure repeat.
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		t.Fatal(err)
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "membership")
 }
