--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -92,6 +92,7 @@
 	s.Journal.SnapshotRows = 10
 	s.SyncPeriod, s.IdlePeriod = 30*time.Millisecond, 100*time.Millisecond
 	s.ListPeriod = 100 * time.Millisecond
+	s.Fresh, s.LeaseMargin = 500*time.Millisecond, 200*time.Millisecond
 	s.TaskLease = 1500 * time.Millisecond
 	s.DrainTimeout, s.RedirectWait = 2*time.Second, 2*time.Second
 	return s
