--- a/client/caller.go
+++ b/client/caller.go
@@ -104,8 +104,17 @@
 
 // Do hands in the request and asks on until it is answered or ctx ends.
 func (c *Caller) Do(ctx context.Context, key model.IdempotencyKey, spec model.Spec) Conclusion {
+	return c.handIn(ctx, key, spec, answered)
+}
+
+// Accept hands in the request until it is accepted, answered or ctx ends.
+func (c *Caller) Accept(ctx context.Context, key model.IdempotencyKey, spec model.Spec) Conclusion {
+	return c.handIn(ctx, key, spec, accepted)
+}
+
+func (c *Caller) handIn(ctx context.Context, key model.IdempotencyKey, spec model.Spec, until chart.StateSet) Conclusion {
 	e := newErrand()
-	return c.run(ctx, e, func() (model.Answer, error) {
+	return c.run(ctx, e, until, func() (model.Answer, error) {
 		if submitting.Has(e.state) {
 			return c.Entry().Submit(ctx, key, spec, c.wait)
 		}
@@ -119,14 +128,30 @@
 	e := newErrand()
 	e.conclusion.ID = id
 	life.Fire(&e.state, evPending, e)
-	return c.run(ctx, e, func() (model.Answer, error) {
+	return c.run(ctx, e, answered, func() (model.Answer, error) {
 		return c.Entry().Await(ctx, id, c.wait)
 	})
 }
 
-// run makes calls until the errand is over.
-func (c *Caller) run(ctx context.Context, e *errand, step func() (model.Answer, error)) Conclusion {
-	for !life.Final(e.state) {
+// Cancel asks for the end of the request until an entry instance has passed it
+// on, or ctx ends. How the request ended shows in its answer.
+func (c *Caller) Cancel(ctx context.Context, id model.RequestID) {
+	pause := newPause()
+	for ctx.Err() == nil {
+		answer, err := c.Entry().Cancel(ctx, id)
+		if event := classify(answer, err); event != evAgain && event != evInDoubt {
+			return
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// Final reports whether an answer ends its request.
+func Final(answer model.Answer) bool { return classify(answer, nil) == evFinal }
+
+// run makes calls until the errand is over or has come to one of the states.
+func (c *Caller) run(ctx context.Context, e *errand, until chart.StateSet, step func() (model.Answer, error)) Conclusion {
+	for !life.Final(e.state) && !until.Has(e.state) {
 		answer, err := step()
 		event := classify(answer, err)
 		if ctx.Err() != nil && event != evFinal {
--- /dev/null
+++ b/cmd/hornbeam-load/main.go
@@ -0,0 +1,172 @@
+// Command hornbeam-load drives entry instances with a workload, judges every
+// answer and shows the waiting times.
+//
+// Exit codes: 0 every accepted request was answered, and rightly; 1 failure;
+// 2 wrong arguments or workload; 4 an answer was wrong or missing; 5
+// interrupted.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/hornbeamworks/hornbeam/load"
+)
+
+// The exit codes.
+const (
+	exitFailure     = 1
+	exitUsage       = 2
+	exitWrong       = 4
+	exitInterrupted = 5
+)
+
+// The defaults.
+const (
+	defaultDuration = 10 * time.Second
+	defaultGiveUp   = 2 * time.Minute
+	defaultCallers  = 512
+	defaultAgain    = 0.05
+)
+
+// version is set at link time.
+var version = "development"
+
+const description = `Makes the requests of a workload at random times, hands each to one of the entry
+instances as a balancer would, retries and waits as a careful caller, and checks
+that each answer is whole, in order, right and always the same. The callers'
+records are for the audit (hornbeam-standin audit --answers FILE).
+
+Examples:
+   hornbeam-load --workload workloads/consortium.ini --keys keys.ini --gate http://127.0.0.1:7080
+   hornbeam-load --workload workloads/zarqa.ini --keys keys.ini --gate http://127.0.0.1:7080 \
+      --gate http://127.0.0.1:7081 --duration 30s --records answers.jsonl --plot waiting.svg
+   hornbeam-load --workload workloads/zarqa.ini --check-settings
+
+Exit codes: 0 every accepted request was answered, and rightly; 1 failure; 2
+wrong arguments or workload; 4 an answer was wrong or missing; 5 interrupted.`
+
+func main() {
+	app := &cli.App{
+		Name:        "hornbeam-load",
+		Usage:       "drive entry instances with a workload and judge every answer",
+		Description: description,
+		Version:     version,
+		Flags:       flags(),
+		Action:      run,
+		ExitErrHandler: func(*cli.Context, error) {
+			// main reports the error itself.
+		},
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "hornbeam-load:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	return exitUsage
+}
+
+func flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "workload", Usage: "read the workload from `FILE`", Required: true},
+		&cli.StringFlag{Name: "keys", Usage: "read the teams' secrets from `FILE`"},
+		&cli.StringSliceFlag{Name: "gate", Usage: "use the entry instance at `URL`; may be repeated", Value: cli.NewStringSlice("http://127.0.0.1:7080")},
+		&cli.DurationFlag{Name: "duration", Usage: "make requests for `TIME`", Value: defaultDuration},
+		&cli.DurationFlag{Name: "give-up", Usage: "stop asking for an answer after `TIME`", Value: defaultGiveUp},
+		&cli.IntFlag{Name: "callers", Usage: "have at most `N` requests under way", Value: defaultCallers},
+		&cli.Uint64Flag{Name: "seed", Usage: "the seed of all chance", Value: 1},
+		&cli.Float64Flag{Name: "again", Usage: "ask for a second answer with this `CHANCE`", Value: defaultAgain},
+		&cli.StringFlag{Name: "records", Usage: "write the callers' records to `FILE`"},
+		&cli.StringFlag{Name: "plot", Usage: "draw the waiting times into `FILE` (svg, png or pdf)"},
+		&cli.BoolFlag{Name: "check-settings", Usage: "check the workload and stop"},
+	}
+}
+
+func run(c *cli.Context) error {
+	options, err := readOptions(c)
+	if err != nil {
+		return cli.Exit(err.Error(), exitUsage)
+	}
+	if c.Bool("check-settings") {
+		fmt.Fprintln(c.App.Writer, "the workload is sound")
+		return nil
+	}
+	records, err := openRecords(c.String("records"))
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	options.Records = records
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result, err := load.Run(ctx, options)
+	if err := errors.Join(err, records.Close()); err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	return report(c, result)
+}
+
+func readOptions(c *cli.Context) (load.Options, error) {
+	options := load.Options{
+		Gates:    c.StringSlice("gate"),
+		Keys:     &load.Keys{},
+		Duration: c.Duration("duration"),
+		GiveUp:   c.Duration("give-up"),
+		Callers:  c.Int("callers"),
+		Seed:     c.Uint64("seed"),
+		Run:      strconv.FormatInt(time.Now().UnixNano(), 36),
+		Again:    c.Float64("again"),
+		Out:      c.App.Writer,
+	}
+	if options.Callers < 1 {
+		return options, errors.New("--callers must be at least 1")
+	}
+	var err error
+	if options.Workload, err = load.Read(c.String("workload")); err != nil {
+		return options, err
+	}
+	if file := c.String("keys"); file != "" {
+		options.Keys, err = load.ReadKeys(file)
+	}
+	return options, err
+}
+
+// openRecords opens the file for records; no name throws them away.
+func openRecords(name string) (io.WriteCloser, error) {
+	if name == "" {
+		name = os.DevNull
+	}
+	return os.Create(name)
+}
+
+func report(c *cli.Context, result *load.Result) error {
+	fmt.Fprintln(c.App.Writer)
+	err := result.Write(c.App.Writer)
+	if file := c.String("plot"); err == nil && file != "" {
+		err = result.Plot(file)
+	}
+	switch {
+	case err != nil:
+		return cli.Exit(err.Error(), exitFailure)
+	case result.Interrupted:
+		return cli.Exit("interrupted", exitInterrupted)
+	case result.Wrong > 0:
+		return cli.Exit(fmt.Sprintf("%d answers were wrong or missing", result.Wrong), exitWrong)
+	default:
+		return nil
+	}
+}
--- a/gate/visit.go
+++ b/gate/visit.go
@@ -57,7 +57,7 @@
 	deadline := v.gate.clock.Now().Add(v.bound(wait))
 	answer, found := v.askFirst(placement.AskFirst, complete.NotRepeatable || !class.Repeatable)
 	if !found {
-		answer = v.submit(placement.Home, key, complete)
+		answer = v.submit(placement.Home, key, complete, max(v.gate.settings.SubmitBudget, v.bound(wait)))
 	}
 	return v.waitOn(answer, deadline)
 }
@@ -116,8 +116,8 @@
 	return model.Answer{}, false
 }
 
-func (v *Visit) submit(id model.RequestID, key model.IdempotencyKey, spec model.Spec) model.Answer {
-	outcome := v.call(id, methodSubmit, true, v.gate.settings.SubmitBudget, func(hops int) any {
+func (v *Visit) submit(id model.RequestID, key model.IdempotencyKey, spec model.Spec, budget time.Duration) model.Answer {
+	outcome := v.call(id, methodSubmit, true, budget, func(hops int) any {
 		return peer.SubmitRequest{
 			ID: id, Team: v.grant.team, Key: key, Spec: spec,
 			ConfigVersion: v.grant.config.Version, Hops: hops,
@@ -218,6 +218,8 @@
 // readingOutcome is the answer to a call that hands in no work.
 func (v *Visit) readingOutcome(id model.RequestID, outcome routing.Outcome) model.Answer {
 	switch {
+	case outcome.Reached && ofProcess[result.Code(outcome.Reply.Answer.Code)]:
+		return reading(outcome.Reply.Answer)
 	case outcome.Reached:
 		return outcome.Reply.Answer
 	case v.Withdrawn():
@@ -229,6 +231,15 @@
 	}
 }
 
+// ofProcess are the codes by which a process speaks of itself and not of the
+// request.
+var ofProcess = map[result.Code]bool{
+	result.Busy:      true,
+	result.Draining:  true,
+	result.NoConfig:  true,
+	result.NotHolder: true,
+}
+
 // reading marks a refusal to read or cancel: it says nothing about the work.
 func reading(answer model.Answer) model.Answer { return withRan(answer, model.Unknown) }
 
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/hornbeamworks/hornbeam/result"
+)
+
+const (
+	median       = 50
+	percentile99 = 99
+	// columnGap is the space between columns.
+	columnGap = 2
+	// plotWidth and plotHeight are the size of the plot.
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+	// microsPerSecond turns the histograms' unit into the plot's.
+	microsPerSecond = 1e6
+)
+
+// Write writes the tables of the result as text.
+func (r *Result) Write(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "class\tsent\tok\tnot run\tfailed\tunknown\tno answer\twait p50\twait p99\twait max\ttotal p50\ttotal p99\t")
+	for _, c := range r.Classes {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t\n", c.Class, c.Sent, c.OK, c.NotRun, c.Failed, c.Unknown,
+			c.Unanswered, quantile(c.Waiting, median), quantile(c.Waiting, percentile99), shown(c.Waiting.Max()),
+			quantile(c.Total, median), quantile(c.Total, percentile99))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\ncalls without a reply: %d; longest delay of our own: %s\n", r.Lost, r.Late.Round(time.Millisecond))
+	for _, code := range r.codes() {
+		fmt.Fprintf(w, "  %d %s: %d\n", code, code, r.Codes[code])
+	}
+	fmt.Fprintf(w, "wrong answers: %d\n", r.Wrong)
+	for _, problem := range r.Problems {
+		fmt.Fprintf(w, "  %s\n", problem)
+	}
+	return nil
+}
+
+func (r *Result) codes() []result.Code {
+	var codes []result.Code
+	for code := range r.Codes {
+		codes = append(codes, code)
+	}
+	slices.Sort(codes)
+	return codes
+}
+
+// quantile returns the value at q percent as text, "-" when there is none.
+func quantile(h *hdrhistogram.Histogram, q float64) string {
+	if h.TotalCount() == 0 {
+		return "-"
+	}
+	return shown(h.ValueAtQuantile(q))
+}
+
+func shown(micros int64) string {
+	return (time.Duration(micros) * time.Microsecond).Round(100 * time.Microsecond).String()
+}
+
+// Plot writes the distribution of the waiting time by class to the file, whose
+// ending (svg, png, pdf) is its format.
+func (r *Result) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = "Waiting time by class"
+	p.X.Label.Text = "waiting time (s)"
+	p.Y.Label.Text = "requests answered (%)"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	for i, class := range r.Classes {
+		if class.Waiting.TotalCount() == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(distribution(class.Waiting))
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(string(class.Class), line)
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// distribution returns the points of the cumulative distribution.
+func distribution(h *hdrhistogram.Histogram) plotter.XYs {
+	var points plotter.XYs
+	for _, b := range h.CumulativeDistribution() {
+		points = append(points, plotter.XY{X: float64(max(b.ValueAt, 1)) / microsPerSecond, Y: b.Quantile})
+	}
+	return points
+}
--- /dev/null
+++ b/load/tally.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hornbeamworks/hornbeam/audit"
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/result"
+)
+
+const (
+	// progressPeriod is the time from one progress line to the next.
+	progressPeriod = time.Second
+	// longestMicros bounds the recorded durations, in microseconds.
+	longestMicros = int64(time.Hour / time.Microsecond)
+	// digits is the precision of the histograms.
+	digits = 3
+	// maxProblems bounds the problems that are kept in words.
+	maxProblems = 20
+)
+
+// ClassTally counts the requests of one class.
+type ClassTally struct {
+	// Class is the class.
+	Class model.ClassName
+	// Sent, Accepted, OK, NotRun, Failed, Unknown and Unanswered count the
+	// requests by how they ended.
+	Sent, Accepted, OK, NotRun, Failed, Unknown, Unanswered int
+	// Waiting is the time from acceptance to start, Total the time from the
+	// first submission to the answer, of requests that were answered OK. In
+	// microseconds.
+	Waiting, Total *hdrhistogram.Histogram
+}
+
+// Result is what a run came to.
+type Result struct {
+	// Classes are the tallies in the order of the workload.
+	Classes []*ClassTally
+	// Codes counts the final answers by result code.
+	Codes map[result.Code]int
+	// Lost counts the calls without an answer.
+	Lost int
+	// Late is the longest time that a request waited for a caller of ours.
+	Late time.Duration
+	// Problems are the first answers that were wrong, Wrong their number.
+	Problems []string
+	Wrong    int
+	// Interrupted says that the run was stopped before its end.
+	Interrupted bool
+}
+
+// tally is the duty that counts and writes. Its writes block it alone.
+type tally struct {
+	clock   clock.Clock
+	start   time.Time
+	next    time.Time
+	records *json.Encoder
+	out     io.Writer
+	result  *Result
+	byClass map[model.ClassName]*ClassTally
+	done    int
+	// err is the first error of writing records.
+	err error
+}
+
+func newTally(w *Workload, c clock.Clock, records, out io.Writer) *tally {
+	t := &tally{
+		clock:   c,
+		start:   c.Now(),
+		records: json.NewEncoder(records),
+		out:     out,
+		result:  &Result{Codes: map[result.Code]int{}},
+		byClass: map[model.ClassName]*ClassTally{},
+	}
+	t.next = t.start.Add(progressPeriod)
+	for _, s := range w.Streams {
+		t.class(model.ClassName(s.Class))
+	}
+	return t
+}
+
+// Handle is the duty.
+func (t *tally) Handle(batch []done) time.Duration {
+	for i := range batch {
+		t.count(&batch[i])
+	}
+	now := t.clock.Now()
+	if !now.Before(t.next) {
+		t.progress(now)
+		t.next = now.Add(progressPeriod)
+	}
+	return t.next.Sub(now)
+}
+
+func (t *tally) class(name model.ClassName) *ClassTally {
+	found := t.byClass[name]
+	if found == nil {
+		found = &ClassTally{
+			Class:   name,
+			Waiting: hdrhistogram.New(1, longestMicros, digits),
+			Total:   hdrhistogram.New(1, longestMicros, digits),
+		}
+		t.byClass[name] = found
+		t.result.Classes = append(t.result.Classes, found)
+	}
+	return found
+}
+
+func (t *tally) count(d *done) {
+	t.done++
+	if err := t.records.Encode(d.record); err != nil && t.err == nil {
+		t.err = err
+	}
+	t.result.Lost += d.lost
+	t.result.Late = max(t.result.Late, d.record.Sent.Sub(d.due))
+	for _, problem := range Check(&d.record) {
+		t.result.Wrong++
+		if len(t.result.Problems) < maxProblems {
+			t.result.Problems = append(t.result.Problems, fmt.Sprintf("%s %s: %s", d.record.Key, d.record.ID, problem))
+		}
+	}
+	t.countClass(&d.record)
+}
+
+func (t *tally) countClass(record *audit.CallerRecord) {
+	class := t.class(record.Spec.Class)
+	class.Sent++
+	if record.Accepted {
+		class.Accepted++
+	}
+	if len(record.Answers) == 0 {
+		class.Unanswered++
+		return
+	}
+	answer := record.Answers[0]
+	code := result.Code(answer.Code)
+	t.result.Codes[code]++
+	switch {
+	case code == result.OK:
+		class.OK++
+		observe(class.Waiting, answer.Waited)
+		observe(class.Total, record.Answered.Sub(record.Sent))
+	case answer.Ran == model.NotRun:
+		class.NotRun++
+	case answer.Ran == model.DidRun:
+		class.Failed++
+	default:
+		class.Unknown++
+	}
+}
+
+// observe records the duration, held within the histogram's bounds.
+func observe(h *hdrhistogram.Histogram, d time.Duration) {
+	// RecordValue fails only for values outside the bounds.
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), longestMicros))
+}
+
+func (t *tally) progress(now time.Time) {
+	ok, refused, unanswered := 0, 0, 0
+	for _, class := range t.result.Classes {
+		ok += class.OK
+		refused += class.NotRun
+		unanswered += class.Unanswered
+	}
+	fmt.Fprintf(t.out, "%4.0fs  done %d  ok %d  not run %d  unanswered %d  calls lost %d  wrong %d\n",
+		now.Sub(t.start).Seconds(), t.done, ok, refused, unanswered, t.result.Lost, t.result.Wrong)
+}
