--- a/load/report.go
+++ b/load/report.go
@@ -24,6 +24,10 @@
 	// plotWidth and plotHeight are the size of the plot.
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 11 * vg.Centimeter
+	// plotFrom is the start of the axis of waiting time in seconds, which spans
+	// a decade at least.
+	plotFrom   = 1e-4
+	plotDecade = 10
 	// microsPerSecond turns the histograms' unit into the plot's.
 	microsPerSecond = 1e6
 )
@@ -94,6 +98,8 @@
 		p.Add(line)
 		p.Legend.Add(string(class.Class), line)
 	}
+	// A logarithmic axis needs two ends above zero, also for equal values.
+	p.X.Min, p.X.Max = plotFrom, max(p.X.Max, plotFrom*plotDecade)
 	return p.Save(plotWidth, plotHeight, file)
 }
 
@@ -101,7 +107,7 @@
 func distribution(h *hdrhistogram.Histogram) plotter.XYs {
 	var points plotter.XYs
 	for _, b := range h.CumulativeDistribution() {
-		points = append(points, plotter.XY{X: float64(max(b.ValueAt, 1)) / microsPerSecond, Y: b.Quantile})
+		points = append(points, plotter.XY{X: max(float64(b.ValueAt)/microsPerSecond, plotFrom), Y: b.Quantile})
 	}
 	return points
 }
