Run a whole deployment as a demo and measure it

Cause: a new user needs one command that shows real work go through, and the users' measures need figures from whole runs.

Change: make demo lays out a deployment, starts its processes from a script, runs the workload, and judges and measures the run; package measure replays the stand-ins' records for packing and share error and reads the cost of control from the processes' own pages.

--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,17 @@
 GO ?= go
 BINARIES := $(notdir $(wildcard cmd/*))
 DEPLOYMENT ?= consortium
+DURATION ?= 10s
 
-.PHONY: build test check unit bench clean
+.PHONY: build demo test check unit bench clean
 
 build:
 	@mkdir -p bin
 	$(GO) build -o bin/ ./cmd/...
 
+demo: build
+	@scripts/demo.sh $(DEPLOYMENT) $(DURATION)
+
 test: check unit
 
 check:
--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -42,7 +42,7 @@
 		Usage:       "stand-ins for the platform and endpoints, and the audit of a run",
 		Description: description,
 		Version:     version,
-		Commands:    []*cli.Command{serveCommand(), auditCommand()},
+		Commands:    append([]*cli.Command{serveCommand(), auditCommand()}, measureCommands()...),
 		ExitErrHandler: func(*cli.Context, error) {
 			// main reports the error itself.
 		},
--- a/deployment/layout/layout.go
+++ b/deployment/layout/layout.go
@@ -25,6 +25,8 @@
 	ProcessFile = "processes"
 	// GateFile lists the URLs of the entry instances, one a line.
 	GateFile = "gates"
+	// SecretFile holds the teams' secrets for the load tool.
+	SecretFile = "secrets.ini"
 	// KeyFolder holds one file for each key.
 	KeyFolder = "keys"
 	// OperatorKey is the name of the operator's key file.
@@ -115,14 +117,18 @@
 	for _, team := range l.deployment.Teams {
 		grants = append(grants, model.Key{ID: team.Name, Team: model.TeamName(team.Name), Role: model.Submitter})
 	}
+	var secrets []section
 	for i := range grants {
 		secret, hash := newSecret()
 		grants[i].Hash = hash
 		if err := l.write(filepath.Join(KeyFolder, grants[i].ID), secret+"\n"); err != nil {
 			return nil, err
 		}
+		if team := grants[i].Team; team != "" {
+			secrets = append(secrets, section{"team." + string(team), []pair{{"secret", secret}}})
+		}
 	}
-	return grants, nil
+	return grants, l.writeSettings(SecretFile, secrets)
 }
 
 func (l *layout) writeGates() error {
--- /dev/null
+++ b/measure/report.go
@@ -0,0 +1,51 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// percent turns a fraction into percent.
+	percent = 100
+	// mib is a mebibyte in bytes.
+	mib = 1 << 20
+)
+
+// Report is what the users measure of one run.
+type Report struct {
+	// Usage is what the run made of the fleet.
+	Usage Usage
+	// Control is the cost of control during the run.
+	Control Control
+	// Elapsed is the time in which Control was used.
+	Elapsed time.Duration
+	// Workers is the number of workers that the cost is spread over.
+	Workers int
+	// Reads and Writes are calls of the platform's table.
+	Reads, Writes int64
+}
+
+// Write writes the report as text.
+func (r Report) Write(w io.Writer) error {
+	seconds := r.Elapsed.Seconds()
+	cores := r.Control.CPU.Seconds() / seconds
+	u := r.Usage
+	_, err := fmt.Fprintf(w, `starts           %d in %.1f s, %.1f a second
+packing          %.1f%% of the fleet on average, %.1f%% at most
+share error      %.1f%% while capacity was short (%.1f s)
+control          %.3f cores in %d processes, %.2f%% of a core for each worker
+control memory   %.1f MiB in the largest process
+table            %.1f writes and %.1f reads a second
+`,
+		u.Starts, u.Span.Seconds(), float64(u.Starts)/max(u.Span.Seconds(), 1),
+		u.Packing*percent, u.Peak*percent,
+		u.ShareError*percent, u.Short.Seconds(),
+		cores, r.Control.Processes, cores*percent/float64(r.Workers),
+		float64(r.Control.LargestMemory)/mib,
+		float64(r.Writes)/seconds, float64(r.Reads)/seconds)
+	return eris.Wrap(err, "writing the report")
+}
--- /dev/null
+++ b/measure/snapshot.go
@@ -0,0 +1,94 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/standin"
+)
+
+// snapshotMode is the mode of a snapshot's file.
+const snapshotMode = 0o644
+
+// Snapshot is the state of all counters at one time.
+type Snapshot struct {
+	// At is the time.
+	At time.Time `json:"at"`
+	// Control is the cost of control until then.
+	Control Control `json:"control"`
+	// Table are the table's counters.
+	Table standin.TableStats `json:"table"`
+}
+
+// Source says where the counters are.
+type Source struct {
+	// Client makes the calls.
+	Client *http.Client
+	// Platform is the base URL of the stand-ins.
+	Platform string
+	// Admins are the addresses of the processes' pages.
+	Admins []string
+}
+
+// Take reads all counters.
+func (s Source) Take(ctx context.Context, now time.Time) (Snapshot, error) {
+	control, err := ControlCost(ctx, s.Client, s.Admins)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	table, err := s.tableStats(ctx)
+	return Snapshot{At: now, Control: control, Table: table}, err
+}
+
+func (s Source) tableStats(ctx context.Context) (standin.TableStats, error) {
+	var stats standin.TableStats
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Platform+standin.StatsPath, nil)
+	if err != nil {
+		return stats, eris.Wrap(err, "table counters")
+	}
+	response, err := s.Client.Do(request)
+	if err != nil {
+		return stats, eris.Wrap(err, "table counters")
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = json.NewDecoder(response.Body).Decode(&stats)
+	return stats, eris.Wrap(err, "table counters")
+}
+
+// Save writes the snapshot to the file.
+func (s Snapshot) Save(file string) error {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return eris.Wrap(err, "encoding the snapshot")
+	}
+	return eris.Wrap(os.WriteFile(file, raw, snapshotMode), "writing the snapshot")
+}
+
+// LoadSnapshot reads a snapshot that Save wrote.
+func LoadSnapshot(file string) (Snapshot, error) {
+	var s Snapshot
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return s, eris.Wrap(err, "reading the snapshot")
+	}
+	return s, eris.Wrap(json.Unmarshal(raw, &s), "decoding the snapshot")
+}
+
+// Since returns the report on the time from the earlier snapshot to this one.
+func (s Snapshot) Since(earlier Snapshot, usage Usage, workers int) Report {
+	control := s.Control
+	control.CPU -= earlier.Control.CPU
+	return Report{
+		Usage:   usage,
+		Control: control,
+		Elapsed: s.At.Sub(earlier.At),
+		Workers: workers,
+		Reads:   s.Table.Reads - earlier.Table.Reads,
+		Writes:  s.Table.Writes - earlier.Table.Writes,
+	}
+}
