Divide team limits by escrow and tell the members which shards are held

A duty of each shard runs the escrow of the epoch that is served and hands it the teams' standings every second; parts of a former epoch are dropped.

--- a/cmd/hornbeam-sched/serve.go
+++ b/cmd/hornbeam-sched/serve.go
@@ -43,6 +43,7 @@
 	keeper   *config.Keeper
 	outside  sched.Outside
 	members  *membership.Membership
+	announce *sched.Announcer
 	daemons  map[model.ShardID]*sched.Daemon
 }
 
@@ -82,6 +83,7 @@
 		Clock:        system,
 		Log:          log,
 		Config:       keeper.View().Current,
+		Start:        p.process.Group().Start,
 		NewScheduler: func() policy.Scheduler { return cell.New(policy.Settings{}) },
 	}
 	p.members = membership.New(membership.Options{
@@ -94,6 +96,8 @@
 		Clock:  system,
 		Caller: peers,
 	})
+	p.announce = sched.NewAnnouncer(p.members.SetShards)
+	p.outside.Announce = p.announce.Announce
 	return p
 }
 
@@ -163,6 +167,7 @@
 	for _, d := range p.daemons {
 		p.process.Start(d.Duties()...)
 	}
+	p.process.Start(p.announce.Duty())
 	p.process.Start(p.members.Duties()...)
 	p.process.Start(p.keeper.Duties()...)
 	p.process.OnDrain(func(context.Context) { p.members.Leave() })
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -106,16 +106,17 @@
 func (w *world) startWith(settings sched.Settings, table platform.Table, endpoints endpoint.Endpoint) *member {
 	w.started++
 	name := fmt.Sprintf("s%d", w.started)
-	m := &member{}
+	m := &member{group: duty.NewGroup(w.ctx)}
 	m.daemon = sched.NewDaemon(home, model.InstanceID(name), name+":1", settings, sched.Outside{
 		Table: table, Objects: w.objects.Client(), Instances: w.fleet.List(), Endpoints: endpoints,
 		Clock: clock.System{}, Log: logging.Discard(),
 		Config:       func() *model.Config { return w.config },
+		Start:        m.group.Start,
+		Announce:     func(sched.Holding) bool { return true },
 		NewScheduler: func() policy.Scheduler { return cell.New(cell.Settings{}) },
 	})
 	m.daemon.Configure(w.config, nil)
 	m.service = sched.NewService(w.ctx, clock.System{}, map[model.ShardID]func(sched.Message) bool{home: m.daemon.Offer})
-	m.group = duty.NewGroup(w.ctx)
 	m.group.Start(m.daemon.Duties()...)
 	DeferCleanup(m.stop)
 	return m
--- a/sched/daemon.go
+++ b/sched/daemon.go
@@ -42,6 +42,11 @@
 	Log *logging.Logger
 	// Config returns the configuration in force, nil before there is one.
 	Config func() *model.Config
+	// Start runs the duties of one epoch: a Group's Start.
+	Start func(...duty.Runner)
+	// Announce hears what the shard has come to, every second while it is
+	// served.
+	Announce func(Holding) bool
 	// NewScheduler makes the decisions of one epoch.
 	NewScheduler func() policy.Scheduler
 }
@@ -62,6 +67,7 @@
 	d.addJournal(&ports, instance, settings, out)
 	d.addSyncs(&ports, settings, out)
 	d.addInstances(settings, out)
+	d.addParts(&ports, out)
 	handler := NewShard(id, instance, settings, out.Clock, out.Log, out.NewScheduler, ports)
 	d.shard = duty.New(d.name("shard"), shardRing, handler)
 	return d
@@ -81,15 +87,6 @@
 	return d.Offer(configured{config, applied})
 }
 
-// SetPart hands over the shard's part of a team's limit.
-func (d *Daemon) SetPart(team model.TeamName, part model.Resources) bool {
-	return d.Offer(parted{team, part})
-}
-
-// Standings asks for the standing of every team; reply has room for it. It is
-// nil while the process does not hold the shard.
-func (d *Daemon) Standings(reply chan<- []policy.Standing) bool { return d.Offer(standings{reply}) }
-
 // Drain hands the shard back and returns when callers have been sent to the
 // successor, or when ctx ends.
 func (d *Daemon) Drain(ctx context.Context) {
@@ -134,6 +131,15 @@
 	}
 }
 
+func (d *Daemon) addParts(ports *Ports, out Outside) {
+	parts := duty.New[partsMessage](d.name("parts"), partsRing, &partsDuty{
+		id: d.id, table: out.Table, clock: out.Clock, config: out.Config,
+		start: out.Start, announce: out.Announce, setPart: func(m parted) bool { return d.Offer(m) },
+	})
+	ports.Parts = parts.Offer
+	d.others = append(d.others, partsRunner{parts})
+}
+
 func (d *Daemon) addInstances(settings Settings, out Outside) {
 	polls := duty.New(d.name("instances"), controlRing, &instancesDuty{
 		id: d.id, list: out.Instances, clock: out.Clock, period: settings.ListPeriod,
--- a/sched/holder.go
+++ b/sched/holder.go
@@ -148,12 +148,12 @@
 	s.sessions = map[model.EndpointID]*session{}
 	s.storeUp = true
 	s.waitUntil = time.Time{}
+	s.standAt = time.Time{}
 	s.successor = shard.LeaseRow{}
 	if s.config != nil {
 		s.policy.SetConfig(s.now, s.config)
 	}
 	s.policy.SetFleet(s.fleetKnown())
-	s.setParts()
 	s.ports.Journal(journal.Open{Epoch: s.epoch})
 }
 
@@ -227,6 +227,7 @@
 
 func (s *Shard) forgetEpoch() {
 	s.ports.Journal(journal.Close{})
+	s.ports.Parts(stopServing{})
 	s.records, s.active, s.attempts, s.sessions = nil, nil, nil, nil
 	s.policy, s.proof, s.image = nil, nil, nil
 	s.members, s.proposed = nil, nil
--- a/sched/messages.go
+++ b/sched/messages.go
@@ -7,7 +7,6 @@
 	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
-	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/shard"
 )
 
@@ -105,11 +104,10 @@
 	}
 	// parted is the shard's part of a team's limit.
 	parted struct {
-		team model.TeamName
-		part model.Resources
+		epoch model.Epoch
+		team  model.TeamName
+		part  model.Resources
 	}
-	// standings asks for the standing of every team.
-	standings struct{ reply chan<- []policy.Standing }
 	// drain starts the hand-over; gone is closed at its end.
 	drain struct{ gone chan<- struct{} }
 )
--- a/sched/settings.go
+++ b/sched/settings.go
@@ -45,9 +45,6 @@
 	DrainTimeout time.Duration
 	// RedirectWait bounds the time that callers wait for the successor.
 	RedirectWait time.Duration
-	// DividedParts says that the parts of the teams' limits come by messages;
-	// otherwise the shards have even parts.
-	DividedParts bool
 	// MaxOpen is the most requests without an answer.
 	MaxOpen int
 	// MaxUnrecorded is the most entries that wait for the journal while new
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -43,6 +43,8 @@
 	Journal func(journal.Message) bool
 	// Resign asks the lease duty to hand the shard back.
 	Resign func() bool
+	// Parts takes the teams' standings.
+	Parts func(partsMessage) bool
 	// Sync hands a Sync to one of the workers, numbered from 0.
 	Sync []func(syncJob) bool
 }
@@ -69,7 +71,6 @@
 	config    *model.Config
 	listed    []model.EndpointInfo
 	fleet     []model.EndpointInfo
-	parts     map[model.TeamName]model.Resources
 	successor shard.LeaseRow
 
 	// The fields below belong to the epoch that is held.
@@ -93,6 +94,7 @@
 	wake      time.Time
 	dirty     bool
 	waitUntil time.Time
+	standAt   time.Time
 	busy      []int
 
 	// deferred are calls that wait until the shard can serve them; redirected
@@ -130,7 +132,6 @@
 		chart:        newHolderChart(),
 		recordChart:  newRecordChart(),
 		sessionChart: newSessionChart(),
-		parts:        map[model.TeamName]model.Resources{},
 		busy:         make([]int, len(ports.Sync)),
 	}
 	s.chart.machine.Start(&s.state, s)
@@ -154,6 +155,7 @@
 	}
 	s.advance()
 	s.retryDeferred()
+	s.standIfDue()
 	s.decide()
 	s.flush()
 	s.dispatch()
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -263,54 +263,9 @@
 	s.config = m.config
 	if s.holding() {
 		s.policy.SetConfig(s.now, s.config)
-		s.setParts()
 		s.dirty = true
 	}
 	if m.applied != nil {
 		m.applied(m.config.Version)
 	}
 }
-
-func (m parted) deliver(s *Shard) {
-	s.parts[m.team] = m.part
-	if s.holding() {
-		s.policy.SetPart(m.team, m.part)
-		s.dirty = true
-	}
-}
-
-// setParts gives the scheduler the shard's parts of the teams' limits. A team
-// without a part has none: nothing of it starts.
-func (s *Shard) setParts() {
-	if s.config == nil {
-		return
-	}
-	for _, team := range s.config.Teams {
-		s.policy.SetPart(team.Name, s.part(team))
-	}
-}
-
-// part returns the shard's part of the team's limit: an even one unless the
-// shards divide the limit by demand.
-func (s *Shard) part(team model.Team) model.Resources {
-	if s.settings.DividedParts {
-		return s.parts[team.Name]
-	}
-	shards := int64(0)
-	for _, domain := range s.config.Domains {
-		shards += int64(domain.Shards)
-	}
-	part := team.Limit
-	for i := range part {
-		part[i] /= max(shards, 1)
-	}
-	return part
-}
-
-func (m standings) deliver(s *Shard) {
-	if !s.holding() {
-		m.reply <- nil
-		return
-	}
-	m.reply <- s.policy.Standings(nil)
-}
