Let the gate hear of other processes, log and count what callers are told

The gate may join the membership: changes of the configuration then come by heartbeats and the routing duty knows candidates and holders from the members, with those of the settings after them. Answers are counted by code, and histograms by class and team shown in expvar.

--- a/cmd/hornbeam-gate/settings.go
+++ b/cmd/hornbeam-gate/settings.go
@@ -15,6 +15,7 @@
 type programSettings struct {
 	Gate     gateSettings     `ini:"gate"`
 	Platform platformSettings `ini:"platform"`
+	Peers    peerSettings     `ini:"peers"`
 	Domains  []domainSettings `ini:"domain.*" validate:"dive"`
 	Limits   limitSettings    `ini:"limits"`
 	Log      logging.Settings `ini:"log"`
@@ -38,6 +39,14 @@
 	Table string `ini:"table" validate:"url"`
 }
 
+// peerSettings let the gate hear of the other processes. Without them it knows
+// the schedulers of the settings only and polls the table for changes.
+type peerSettings struct {
+	// Listen is the address for peers, Domain the gate's failure domain.
+	Listen string `ini:"listen" validate:"omitempty,hostname_port"`
+	Domain string `ini:"domain" validate:"required_with=Listen"`
+}
+
 // domainSettings name the schedulers of one failure domain.
 type domainSettings struct {
 	Name string `ini:"*"`
@@ -116,6 +125,15 @@
 	}
 }
 
+// seeds returns the addresses of all schedulers.
+func (s *programSettings) seeds() []string {
+	var seeds []string
+	for _, domain := range s.Domains {
+		seeds = append(seeds, domain.Schedulers...)
+	}
+	return seeds
+}
+
 // addresses returns the schedulers by failure domain.
 func (s *programSettings) addresses() routing.Addresses {
 	addresses := routing.Addresses{}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/result"
 	"github.com/hornbeamworks/hornbeam/routing"
@@ -72,11 +73,12 @@
 	clock     clock.Clock
 	admission *Admission
 	caller    *routing.Caller
+	observer  *observer
 }
 
 // New returns a gate that admits by admission and asks peers by caller.
-func New(settings Settings, c clock.Clock, admission *Admission, caller *routing.Caller) *Gate {
-	return &Gate{settings: settings, clock: c, admission: admission, caller: caller}
+func New(settings Settings, c clock.Clock, admission *Admission, caller *routing.Caller, log *logging.Logger) *Gate {
+	return &Gate{settings: settings, clock: c, admission: admission, caller: caller, observer: newObserver(log)}
 }
 
 // MaxWait returns the longest wait that a caller may ask for.
@@ -95,6 +97,7 @@
 	inner, cancel := context.WithCancelCause(ctx)
 	grant := g.admission.enter(secret, verb, cancel)
 	if grant.refusal != nil {
+		g.observer.refused(grant)
 		cancel(nil)
 		return nil, grant.refusal
 	}
--- a/gate/httpapi/holder_test.go
+++ b/gate/httpapi/holder_test.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/gate"
 	"github.com/hornbeamworks/hornbeam/gate/httpapi"
+	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
@@ -205,7 +206,7 @@
 	system := clock.System{}
 	router := routing.NewRouter(routing.DefaultSettings(), system, routing.Addresses{"a": {"pa"}, "b": {"pb"}})
 	f.admission = gate.NewAdmission(settings, system, f.view)
-	f.gate = gate.New(settings, system, f.admission, routing.NewCaller(router, f.holder, system))
+	f.gate = gate.New(settings, system, f.admission, routing.NewCaller(router, f.holder, system), logging.Discard())
 	f.server = httpapi.Server(f.gate, limits)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/gate/visit.go
+++ b/gate/visit.go
@@ -46,6 +46,13 @@
 // Submit hands in a request and waits for its answer for as long as wait. The
 // answer's code is Pending when the request is accepted and not answered yet.
 func (v *Visit) Submit(key model.IdempotencyKey, spec model.Spec, wait time.Duration) model.Answer {
+	since := v.gate.clock.Now()
+	answer := v.submitAndWait(key, spec, wait)
+	v.gate.observer.submitted(v, spec.Class, answer, v.gate.clock.Now().Sub(since))
+	return answer
+}
+
+func (v *Visit) submitAndWait(key model.IdempotencyKey, spec model.Spec, wait time.Duration) model.Answer {
 	complete, class, problem := v.check(key, spec)
 	if problem != nil {
 		return result.Answer("", problem.Code, problem.Reason)
@@ -69,7 +76,9 @@
 	}
 	wait = v.bound(wait)
 	deadline := v.gate.clock.Now().Add(wait)
-	return v.waitOn(v.await(id, min(wait, v.gate.settings.WaitSlice)), deadline)
+	answer := v.waitOn(v.await(id, min(wait, v.gate.settings.WaitSlice)), deadline)
+	v.gate.observer.answered("request_awaited", v.grant.team, answer)
+	return answer
 }
 
 // Cancel ends the request.
@@ -80,7 +89,9 @@
 	outcome := v.call(id, methodCancel, false, 0, func(hops int) any {
 		return peer.CancelRequest{ID: id, Team: v.grant.team, Hops: hops}
 	})
-	return v.readingOutcome(id, outcome)
+	answer := v.readingOutcome(id, outcome)
+	v.gate.observer.answered("request_cancelled", v.grant.team, answer)
+	return answer
 }
 
 func (v *Visit) check(key model.IdempotencyKey, spec model.Spec) (model.Spec, model.Class, *result.Error) {
