--- /dev/null
+++ b/cmd/hornbeamctl/operateservice.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+func domainCommand() *cli.Command {
+	command := serviceCommand("domain", "failure domains", "DOMAIN", func(out bool) func(*session) error {
+		return func(s *session) error {
+			name, err := s.argument(0, "DOMAIN")
+			if err != nil {
+				return err
+			}
+			return s.changed(s.client.ServeDomain(s.ctx, model.DomainName(name), out, s.options()))
+		}
+	})
+	command.Subcommands = append(command.Subcommands, &cli.Command{
+		Name: "list", Usage: "show the failure domains and what is out of service",
+		Flags: []cli.Flag{timeoutFlag()}, Action: operator(listDomains),
+	})
+	return command
+}
+
+func rackCommand() *cli.Command {
+	return serviceCommand("rack", "racks", "DOMAIN RACK", func(out bool) func(*session) error {
+		return func(s *session) error {
+			domain, err := s.argument(0, "DOMAIN")
+			if err != nil {
+				return err
+			}
+			rack, err := s.argument(1, "RACK")
+			if err != nil {
+				return err
+			}
+			ref := model.RackRef{Domain: model.DomainName(domain), Rack: model.RackName(rack)}
+			return s.changed(s.client.ServeRack(s.ctx, ref, out, s.options()))
+		}
+	})
+}
+
+func endpointCommand() *cli.Command {
+	return serviceCommand("endpoint", "endpoints", "ENDPOINT", func(out bool) func(*session) error {
+		return func(s *session) error {
+			id, err := s.argument(0, "ENDPOINT")
+			if err != nil {
+				return err
+			}
+			return s.changed(s.client.ServeEndpoint(s.ctx, model.EndpointID(id), out, s.options()))
+		}
+	})
+}
+
+// serviceCommand returns a command that takes things out of service and brings
+// them back.
+func serviceCommand(name, things, arguments string, serve func(out bool) func(*session) error) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: "take " + things + " out of service and bring them back", Category: operators,
+		Subcommands: []*cli.Command{
+			{Name: "out", Usage: "take out: nothing new starts there", ArgsUsage: arguments, Flags: changeFlags(), Action: operator(serve(true))},
+			{Name: "in", Usage: "bring back", ArgsUsage: arguments, Flags: changeFlags(), Action: operator(serve(false))},
+		},
+	}
+}
+
+func listDomains(s *session) error {
+	return show(s.c, s.shown, func(w io.Writer) {
+		var rows []string
+		for _, domain := range s.shown.Domains {
+			service := "in"
+			if domain.Out {
+				service = "out"
+			}
+			rows = append(rows, fmt.Sprintf("%s\t%d\t%s", domain.Name, domain.Shards, service))
+		}
+		writeTable(w, "DOMAIN\tSHARDS\tSERVICE", rows)
+		for _, rack := range s.shown.RacksOut {
+			fmt.Fprintf(w, "rack out: %s %s\n", rack.Domain, rack.Rack)
+		}
+		for _, endpoint := range s.shown.EndpointsOut {
+			fmt.Fprintf(w, "endpoint out: %s\n", endpoint)
+		}
+	})
+}
--- a/operate/force.go
+++ b/operate/force.go
@@ -66,6 +66,10 @@
 func (r *forceRequest) roles() []model.Role { return readers() }
 
 func (r *forceRequest) serve(d *Desk, _ model.Key) {
+	if d.options.Members == nil {
+		r.refuse(result.HomeUnreachable, "this entry instance does not hear of the other processes")
+		return
+	}
 	current := d.options.View.Current()
 	if r.version == 0 {
 		r.version = current.Version
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -40,7 +40,8 @@
 	Writer *config.Writer
 	// Table holds the audit log and the ledger of the teams' limits.
 	Table platform.Table
-	// Members returns the processes that are known.
+	// Members returns the processes that are known; nil when the process does
+	// not hear of others.
 	Members func() []membership.Status
 	// Clock is the process's clock.
 	Clock clock.Clock
