--- a/policy/cell/decide.go
+++ b/policy/cell/decide.go
@@ -19,7 +19,9 @@
 	c.runTimers()
 	c.runProbes()
 	c.reviewReservations()
-	c.wake()
+	if c.exhaustive {
+		c.unblockAll()
+	}
 	starts := c.startAll(plan)
 	c.preempt()
 	c.reserveHead()
@@ -49,9 +51,6 @@
 		c.unblockAll()
 	}
 	for _, q := range c.queueOrder {
-		if len(c.changed) == 0 {
-			return
-		}
 		if q.Blocked && c.mayStart(q) {
 			c.unblock(q)
 		}
@@ -81,6 +80,9 @@
 // mayFit reports whether the changed endpoints may let the job start. For a
 // gang they must make up for all the tasks that were missing.
 func (c *Cell) mayFit(j *work.Job) bool {
+	if j.Limited {
+		return false
+	}
 	size := c.size(j)
 	for _, n := range c.changed {
 		fitting := placement.Fits(size, n.Room())
@@ -121,6 +123,9 @@
 func (c *Cell) startAll(plan *policy.Plan) int {
 	before := len(plan.Starts)
 	for len(plan.Starts)-before < c.settings.StartsPerPlan {
+		if len(c.changed) > 0 {
+			c.wake()
+		}
 		q := c.picker.Next()
 		if q == nil {
 			break
--- a/policy/cell/explain.go
+++ b/policy/cell/explain.go
@@ -53,7 +53,7 @@
 		return "It waits for its next attempt after a failure."
 	case !j.InQueue:
 		return "It waits for its running attempts to be stopped."
-	case j.Queue.OverLimit:
+	case c.Limited(j):
 		return "The team is at its limit."
 	case j.Reserved > 0:
 		return "Endpoints are reserved for it until enough room is free."
--- a/policy/cell/host.go
+++ b/policy/cell/host.go
@@ -72,7 +72,7 @@
 // Enter puts a job with tasks to start into its queue.
 func (c *Cell) Enter(j *work.Job) {
 	q := j.Queue
-	j.Missing, j.Sized = 0, 0
+	j.Missing, j.Limited, j.Sized = 0, false, 0
 	q.Insert(j, j.Ran || j.Unsure || j.Live > 0)
 	q.Blocked = false
 	c.updateQueue(q)
--- a/policy/cell/preempt.go
+++ b/policy/cell/preempt.go
@@ -77,7 +77,7 @@
 
 func (c *Cell) entitled(q *work.Queue) bool {
 	j := q.First
-	if j.Gang() || j.Reserved > 0 || j.Missing == missingLimit {
+	if j.Gang() || j.Reserved > 0 || c.Limited(j) {
 		return false
 	}
 	waited := c.now.Sub(j.Request.Accepted)
--- a/policy/cell/reserve.go
+++ b/policy/cell/reserve.go
@@ -61,7 +61,7 @@
 func (c *Cell) firstBlocked() *work.Job {
 	var first *work.Queue
 	for _, q := range c.queueOrder {
-		if !q.Blocked || q.Len == 0 || q.First.Missing == missingLimit || q.First.Reserved > 0 {
+		if !q.Blocked || q.Len == 0 || c.Limited(q.First) || q.First.Reserved > 0 {
 			continue
 		}
 		if c.now.Sub(q.First.Request.Accepted) < q.First.Class.MaxWait/reserveAfter {
--- a/policy/cell/start.go
+++ b/policy/cell/start.go
@@ -13,9 +13,9 @@
 func (c *Cell) start(j *work.Job, plan *policy.Plan) bool {
 	t, count := j.Head(), j.Count()
 	size := c.size(j)
-	if !size.Scale(int64(count)).Fits(j.Team.Room()) {
+	j.Limited = c.Limited(j)
+	if j.Limited {
 		j.Queue.OverLimit = true
-		j.Missing = missingLimit
 		return false
 	}
 	c.want = work.Want{Now: c.now, Task: t, Size: size, Ends: c.now.Add(c.duration(j))}
@@ -32,6 +32,12 @@
 	return true
 }
 
+// Limited reports whether the team's limit holds the job up.
+func (c *Cell) Limited(j *work.Job) bool {
+	needed := c.size(j).Scale(int64(j.Count()))
+	return !needed.Fits(j.Team.Room())
+}
+
 // choose fills c.chosen with an endpoint for each of count tasks.
 func (c *Cell) choose(j *work.Job, count int) bool {
 	c.chosen = c.chosen[:0]
@@ -73,6 +79,7 @@
 			return true
 		}
 	}
+	j.Missing = 1
 	return false
 }
 
@@ -116,9 +123,6 @@
 	})
 }
 
-// missingLimit is the Missing of a job that the team's limit holds up.
-const missingLimit = 1 << 30
-
 // size returns what the next attempt of the job commits.
 func (c *Cell) size(j *work.Job) model.Resources {
 	if j.Sized != c.estimates {
--- a/policy/work/job.go
+++ b/policy/work/job.go
@@ -20,6 +20,8 @@
 	Release(t *Task)
 	// Halt asks for the task's attempt to be treated as t.Treatment says.
 	Halt(t *Task)
+	// Limited reports whether the team's limit holds the job up.
+	Limited(j *Job) bool
 	// Delay sets the task's backoff after a failure.
 	Delay(t *Task)
 	// MayRetry reports whether the failed task may be tried again.
@@ -68,6 +70,8 @@
 	Timer Timer
 	// Missing is how many more tasks must fit before a blocked gang can start.
 	Missing int
+	// Limited says that the team's limit held it up when it was last tried.
+	Limited bool
 	// Size is what the next attempt commits, as of version Sized.
 	Size model.Resources
 	// Sized is the version of the estimates that Size was worked out from; 0
--- a/policy/work/jobchart.go
+++ b/policy/work/jobchart.go
@@ -115,7 +115,7 @@
 
 func (j *Job) noteExpiry() {
 	j.Verdict, j.Reason = result.WindowPassed, "the window ended before the work could start"
-	if j.Queue.OverLimit {
+	if j.InQueue && j.Host.Limited(j) {
 		j.Verdict, j.Reason = result.OverLimit, "the team stayed at its limit until the end of the window"
 	}
 }
