Wake only the queue that new room serves first

A task that ended woke every blocked queue, and all but one were tried for nothing. Now the first queue in order that may fit the changed endpoints is woken, and endpoints whose room is below every queued size are dropped.

--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -59,12 +59,17 @@
 	refreshed  time.Time
 	reserved   []*work.Node
 	reviewed   time.Time
+	preempted  time.Time
 	slots      []slot
 	running    []*work.Task
 	cursor     int
 	victims    []*work.Task
 	found      []*work.Task
 	stats      Stats
+	// round counts the changes that make it worth trying blocked queues again.
+	round uint64
+	// smallest is at most the size of any queued task.
+	smallest model.Resources
 	// estimates is the version of what learned sizes depend on.
 	estimates uint64
 }
@@ -102,5 +107,6 @@
 		nodes:      map[model.EndpointID]*work.Node{},
 		racks:      map[rackName]*work.Rack{},
 		estimates:  1,
+		smallest:   noSize,
 	}
 }
--- a/policy/cell/config.go
+++ b/policy/cell/config.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -111,8 +112,24 @@
 		team.Account.Decay(c.now, c.settings.HalfLife)
 	}
 	c.renewOrder()
+	c.renewSmallest()
 }
 
+// renewSmallest works out the smallest size of the queued tasks anew.
+func (c *Cell) renewSmallest() {
+	c.smallest = noSize
+	for _, q := range c.queueOrder {
+		for j := q.First; j != nil; j = j.Next {
+			for r, amount := range j.Request.Spec.Size {
+				c.smallest[r] = min(c.smallest[r], amount)
+			}
+		}
+	}
+}
+
+// noSize is the smallest size while nothing is queued.
+var noSize = model.Resources{math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64}
+
 // renewOrder gives every queue its key anew.
 func (c *Cell) renewOrder() {
 	for _, team := range c.teamOrder {
--- a/policy/cell/decide.go
+++ b/policy/cell/decide.go
@@ -19,6 +19,7 @@
 	c.runTimers()
 	c.runProbes()
 	c.reviewReservations()
+	c.round++
 	if c.exhaustive {
 		c.unblockAll()
 	}
@@ -45,16 +46,49 @@
 	}
 }
 
-// wake unblocks the queues that the endpoints with new room may serve.
-func (c *Cell) wake() {
-	if c.exhaustive {
-		c.unblockAll()
+// wakeFirst unblocks the first queue that the endpoints with new room may let
+// start something, if it stands before the queue that is next anyway. An
+// endpoint is done with when no queue is left that it may serve.
+func (c *Cell) wakeFirst() {
+	c.dropFull()
+	if len(c.changed) == 0 {
+		return
 	}
+	first := c.picker.Next()
+	runnable := first != nil
 	for _, q := range c.queueOrder {
-		if q.Blocked && c.mayStart(q) {
-			c.unblock(q)
+		if !q.Blocked || q.Tried == c.round || first != nil && !q.Before(first) {
+			continue
+		}
+		if c.mayStart(q) {
+			first = q
+		}
+	}
+	if first != nil {
+		c.unblock(first)
+		return
+	}
+	if !runnable {
+		c.dropChanged()
+	}
+}
+
+// dropFull is done with the changed endpoints that have no room for any task.
+func (c *Cell) dropFull() {
+	kept := c.changed[:0]
+	for _, n := range c.changed {
+		room := n.Room()
+		if c.smallest.Fits(room) {
+			kept = append(kept, n)
+		} else {
+			n.Changed = false
 		}
 	}
+	c.changed = kept
+}
+
+// dropChanged is done with all changed endpoints.
+func (c *Cell) dropChanged() {
 	for _, n := range c.changed {
 		n.Changed = false
 	}
@@ -123,15 +157,13 @@
 func (c *Cell) startAll(plan *policy.Plan) int {
 	before := len(plan.Starts)
 	for len(plan.Starts)-before < c.settings.StartsPerPlan {
-		if len(c.changed) > 0 {
-			c.wake()
-		}
+		c.wakeFirst()
 		q := c.picker.Next()
 		if q == nil {
 			break
 		}
 		if !c.startFrom(q, plan) {
-			q.Blocked = true
+			q.Blocked, q.Tried = true, c.round
 			c.picker.Update(q)
 		}
 	}
--- a/policy/cell/endpoints.go
+++ b/policy/cell/endpoints.go
@@ -122,6 +122,7 @@
 // gained notes that the endpoint's room may have grown.
 func (c *Cell) gained(n *work.Node) {
 	c.placer.Update(n)
+	c.round++
 	if !n.Changed {
 		n.Changed = true
 		c.changed = append(c.changed, n)
--- a/policy/cell/host.go
+++ b/policy/cell/host.go
@@ -73,6 +73,9 @@
 func (c *Cell) Enter(j *work.Job) {
 	q := j.Queue
 	j.Missing, j.Limited, j.Sized = 0, false, 0
+	for r, amount := range j.Request.Spec.Size {
+		c.smallest[r] = min(c.smallest[r], amount)
+	}
 	q.Insert(j, j.Ran || j.Unsure || j.Live > 0)
 	q.Blocked = false
 	c.updateQueue(q)
--- a/policy/cell/preempt.go
+++ b/policy/cell/preempt.go
@@ -14,6 +14,8 @@
 	preemptAfter = 4
 	// reclaimAfter is the same for a team that takes back its share.
 	reclaimAfter = 2
+	// preemptPeriod is the least time between two preemptions.
+	preemptPeriod = 20 * time.Millisecond
 	// preemptNodes is the most endpoints that are looked at for one job.
 	preemptNodes = 64
 	// preemptHold is how long the room of halted attempts is kept.
@@ -28,6 +30,10 @@
 // preempt halts attempts in favour of one job that has waited for long and
 // may: those of one endpoint that lose least.
 func (c *Cell) preempt() {
+	if c.now.Sub(c.preempted) < preemptPeriod {
+		return
+	}
+	c.preempted = c.now
 	q := c.firstEntitled()
 	if q == nil {
 		return
@@ -77,14 +83,13 @@
 
 func (c *Cell) entitled(q *work.Queue) bool {
 	j := q.First
-	if j.Gang() || j.Reserved > 0 || c.Limited(j) {
-		return false
-	}
 	waited := c.now.Sub(j.Request.Accepted)
-	if mayOutrank(q) && waited >= j.Class.MaxWait/preemptAfter {
-		return true
+	if waited < j.Class.MaxWait/preemptAfter || j.Gang() || j.Reserved > 0 {
+		return false
 	}
-	return q.Team.Account.Ratio() < underShare && waited >= j.Class.MaxWait/reclaimAfter
+	outranks := mayOutrank(q)
+	reclaims := waited >= j.Class.MaxWait/reclaimAfter && q.Team.Account.Ratio() < underShare
+	return (outranks || reclaims) && !c.Limited(j)
 }
 
 // mayOutrank reports whether the queue may preempt work of later tiers: its
--- a/policy/work/job.go
+++ b/policy/work/job.go
@@ -83,6 +83,8 @@
 	Served bool
 
 	state       chart.State
+	gang        bool
+	service     bool
 	firstQueued *Task
 	lastQueued  *Task
 }
@@ -91,6 +93,8 @@
 func (j *Job) Reset(host Host, request *model.Request, class model.Class, q *Queue) {
 	tasks := j.Tasks[:0]
 	*j = Job{Host: host, Request: request, Class: class, Queue: q, Team: q.Team, Tasks: tasks}
+	j.gang = request.Spec.Kind == model.Gang
+	j.service = request.Spec.Kind == model.Service
 	j.Timer.index = noTimer
 	j.Timer.job = j
 	jobs.Start(&j.state, j)
@@ -106,10 +110,10 @@
 }
 
 // Gang reports whether the tasks start all together.
-func (j *Job) Gang() bool { return j.Request.Spec.Kind == model.Gang }
+func (j *Job) Gang() bool { return j.gang }
 
 // Service reports whether the tasks run until they are cancelled.
-func (j *Job) Service() bool { return j.Request.Spec.Kind == model.Service }
+func (j *Job) Service() bool { return j.service }
 
 // Repeatable reports whether a task may run more than once.
 func (j *Job) Repeatable() bool {
--- a/policy/work/queue.go
+++ b/policy/work/queue.go
@@ -83,6 +83,8 @@
 	Tasks int
 	// Blocked says that nothing in it could be started when it was last tried.
 	Blocked bool
+	// Tried is the round in which it was last tried.
+	Tried uint64
 	// OverLimit says that the team's limit was the reason.
 	OverLimit bool
 	// Sizes learns how much larger than declared the tasks are.
