--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DEPLOYMENT ?= consortium
 DURATION ?= 10s
 
-.PHONY: build demo test check unit bench clean
+.PHONY: build demo capacity test check unit bench clean
 
 build:
 	@mkdir -p bin
@@ -13,6 +13,10 @@
 demo: build
 	@scripts/demo.sh $(DEPLOYMENT) $(DURATION)
 
+capacity: build
+	@scripts/capacity.sh
+	bin/hornbeam-capacity --runs out/capacity --page docs/CAPACITY.md --plots docs/capacity
+
 test: check unit
 
 check:
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -34,9 +34,9 @@
 	line := s.Fit()
 	var samples []string
 	for _, sample := range s.Samples {
-		samples = append(samples, fmt.Sprintf("%g: %.4g", sample.Size, sample.Value))
+		samples = append(samples, fmt.Sprintf("%.4g: %.4g", sample.Size, sample.Value))
 	}
-	return fmt.Sprintf("| %s [%s] by %s | %s | %.4g + %.4g·n | %.3f | n = %g: %.4g %s | %s |\n",
+	return fmt.Sprintf("| %s [%s] by %s | %s | %.4g + %.4g·n | %.3f | n = %.4g: %.4g %s | %s |\n",
 		s.Name, s.Unit, s.SizeUnit, strings.Join(samples, ", "), line.Intercept, line.PerSize,
 		line.RSquared, s.Target, line.At(s.Target), s.Unit, s.Mechanism)
 }
--- a/cmd/hornbeam-load/main.go
+++ b/cmd/hornbeam-load/main.go
@@ -90,6 +90,7 @@
 		&cli.DurationFlag{Name: "give-up", Usage: "stop asking for an answer after `TIME`", Value: defaultGiveUp},
 		&cli.IntFlag{Name: "callers", Usage: "have at most `N` requests under way", Value: defaultCallers},
 		&cli.Uint64Flag{Name: "seed", Usage: "the seed of all chance", Value: 1},
+		&cli.Float64Flag{Name: "rate", Usage: "multiply the rate of every stream by `FACTOR`", Value: 1},
 		&cli.Float64Flag{Name: "again", Usage: "ask for a second answer with this `CHANCE`", Value: defaultAgain},
 		&cli.StringFlag{Name: "records", Usage: "write the callers' records to `FILE`"},
 		&cli.StringFlag{Name: "plot", Usage: "draw the waiting times into `FILE` (svg, png or pdf)"},
@@ -139,6 +140,9 @@
 	if options.Workload, err = load.Read(c.String("workload")); err != nil {
 		return options, err
 	}
+	if err = options.Workload.Scale(c.Float64("rate")); err != nil {
+		return options, err
+	}
 	if file := c.String("keys"); file != "" {
 		options.Keys, err = load.ReadKeys(file)
 	}
--- a/cmd/hornbeam-standin/measure.go
+++ b/cmd/hornbeam-standin/measure.go
@@ -37,6 +37,7 @@
 			Flags: append([]cli.Flag{
 				&cli.StringFlag{Name: "since", Usage: "the snapshot's `FILE`", Required: true},
 				&cli.StringFlag{Name: "answers", Usage: "read callers' answers from `FILE`", Required: true},
+				&cli.StringFlag{Name: "append", Usage: "append the figures to `FILE` as a line of JSON"},
 				&cli.StringFlag{Name: "deployment", Usage: "read the deployment from `FILE`", Required: true},
 			}, counters...),
 			Action: runMeasure,
@@ -77,7 +78,13 @@
 	if err != nil {
 		return err
 	}
-	return now.Since(earlier, usage, d.Workers.Count).Write(os.Stdout)
+	report := now.Since(earlier, usage, d)
+	if file := c.String("append"); file != "" {
+		if err := report.Append(file); err != nil {
+			return err
+		}
+	}
+	return report.Write(os.Stdout)
 }
 
 func fleetUsage(c *cli.Context, d *deployment.Deployment) (measure.Usage, error) {
--- a/load/workload.go
+++ b/load/workload.go
@@ -9,6 +9,8 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/settings"
 )
@@ -64,6 +66,17 @@
 	return w, nil
 }
 
+// Scale multiplies the rate of every stream. The factor must be above zero.
+func (w *Workload) Scale(factor float64) error {
+	if factor <= 0 {
+		return eris.Errorf("the rate factor is %g, it must be above zero", factor)
+	}
+	for i := range w.Streams {
+		w.Streams[i].Rate *= factor
+	}
+	return nil
+}
+
 // complete fills in what a stream leaves out.
 func (s *Stream) complete() {
 	if s.Kind == "" {
--- a/measure/report.go
+++ b/measure/report.go
@@ -1,8 +1,11 @@
 package measure
 
 import (
+	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +28,8 @@
 	Elapsed time.Duration
 	// Workers is the number of workers that the cost is spread over.
 	Workers int
+	// Domains is the number of failure domains.
+	Domains int
 	// Reads and Writes are calls of the platform's table.
 	Reads, Writes int64
 }
@@ -49,3 +54,37 @@
 		float64(r.Writes)/seconds, float64(r.Reads)/seconds)
 	return eris.Wrap(err, "writing the report")
 }
+
+// reportMode is the mode of a file of reports.
+const reportMode = 0o644
+
+// Append adds the report to the file as one line of JSON.
+func (r Report) Append(file string) error {
+	f, err := os.OpenFile(file, os.O_APPEND|os.O_CREATE|os.O_WRONLY, reportMode)
+	if err != nil {
+		return eris.Wrap(err, "reports")
+	}
+	err = json.NewEncoder(f).Encode(r)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return eris.Wrap(err, "reports")
+}
+
+// ReadReports reads the reports that Append wrote.
+func ReadReports(file string) ([]Report, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "reports")
+	}
+	defer func() { _ = f.Close() }()
+	var reports []Report
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		var r Report
+		if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+			return nil, eris.Wrapf(err, "reports: line %d", len(reports)+1)
+		}
+		reports = append(reports, r)
+	}
+	return reports, nil
+}
--- a/measure/snapshot.go
+++ b/measure/snapshot.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hornbeamworks/hornbeam/deployment"
 	"github.com/hornbeamworks/hornbeam/standin"
 )
 
@@ -80,14 +81,15 @@
 }
 
 // Since returns the report on the time from the earlier snapshot to this one.
-func (s Snapshot) Since(earlier Snapshot, usage Usage, workers int) Report {
+func (s Snapshot) Since(earlier Snapshot, usage Usage, d *deployment.Deployment) Report {
 	control := s.Control
 	control.CPU -= earlier.Control.CPU
 	return Report{
 		Usage:   usage,
 		Control: control,
 		Elapsed: s.At.Sub(earlier.At),
-		Workers: workers,
+		Workers: d.Workers.Count,
+		Domains: len(d.Fleet.Domains),
 		Reads:   s.Table.Reads - earlier.Table.Reads,
 		Writes:  s.Table.Writes - earlier.Table.Writes,
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,13 +8,14 @@
 deployment=${1:-consortium}
 duration=${2:-10s}
 folder=out/demo/$deployment
-platform=http://127.0.0.1:7100
+base_port=${BASE_PORT:-7100}
+platform=http://127.0.0.1:$base_port
 
 rm -rf "$folder"
 trap 'stop_all' EXIT
 trap 'exit 130' INT TERM
 
-bin/hornbeamctl layout --deployment "deploy/$deployment.ini" --folder "$folder"
+bin/hornbeamctl layout --deployment "deploy/$deployment.ini" --folder "$folder" --base-port "$base_port"
 echo "starting $(wc -l <"$folder/processes") processes of $deployment"
 start_all "$folder"
 
