Add a harness that runs the real binaries behind fault proxies

Cause: what must always hold has to be shown with real processes that die, pause and are cut off.

Change: the harness builds the binaries with the race detector, starts stand-ins, schedulers and gates on loopback with a fault proxy in front of everything that leaves a failure domain, plays callers behind a balancer and judges each run by package audit.

--- /dev/null
+++ b/integration/harness/caller.go
@@ -0,0 +1,154 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/audit"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/result"
+)
+
+const (
+	// callWait is how long a gate is asked to wait for an answer.
+	callWait = 2 * time.Second
+	// retryWait is the time between two tries of a caller.
+	retryWait = 50 * time.Millisecond
+	// cancelTries bounds the tries of one cancellation.
+	cancelTries = 20
+)
+
+// callRefusals are the codes that say something of one call only: the caller
+// asks again, at another entry instance.
+var callRefusals = map[result.Code]bool{
+	result.Pending: true, result.HomeUnreachable: true, result.ConfigStale: true,
+	result.Draining: true, result.NotHolder: true, result.NoConfig: true,
+	result.Busy: true, result.HomeNotReached: true, result.UnknownRequest: true,
+}
+
+// serve takes one request from its first call to its answer.
+func (w *Crowd) serve(j Job) audit.CallerRecord {
+	record := audit.CallerRecord{
+		Sent: time.Now(), Team: model.TeamName(j.Team),
+		Key: model.IdempotencyKey(j.Key), Spec: j.spec(),
+	}
+	if j.Team != Keyless {
+		record.KeyHash = hashOf(secret(j.Team))
+	}
+	if j.CancelAfter > 0 {
+		defer time.AfterFunc(j.CancelAfter, func() { w.cancel(j) }).Stop()
+	}
+	until := record.Sent.Add(Patience)
+	for len(record.Answers) == 0 && time.Now().Before(until) {
+		w.step(j, &record)
+	}
+	w.askAgain(j, &record)
+	return record
+}
+
+// step makes one call: a submission until the request is accepted, then a
+// question for the answer.
+func (w *Crowd) step(j Job, record *audit.CallerRecord) {
+	answer, err := w.ask(j, record)
+	code := result.Code(answer.Code)
+	if err == nil && code == result.Pending {
+		record.Accepted = true
+		record.ID = answer.ID
+		return
+	}
+	if err != nil || callRefusals[code] {
+		time.Sleep(retryWait)
+		return
+	}
+	if answer.ID != "" {
+		record.ID = answer.ID
+	}
+	record.Accepted = record.Accepted || answer.Ran == model.DidRun
+	record.Answered = time.Now()
+	record.Answers = append(record.Answers, answer)
+}
+
+// askAgain asks another entry instance for the same answer.
+func (w *Crowd) askAgain(j Job, record *audit.CallerRecord) {
+	if !record.Accepted || len(record.Answers) == 0 {
+		return
+	}
+	answer, err := w.ask(j, record)
+	if err == nil && !callRefusals[result.Code(answer.Code)] {
+		record.Answers = append(record.Answers, answer)
+	}
+}
+
+func (w *Crowd) ask(j Job, record *audit.CallerRecord) (model.Answer, error) {
+	if record.Accepted {
+		path := fmt.Sprintf("/v1/requests/%s?wait=%s", record.ID, callWait)
+		return w.call(http.MethodGet, path, j, nil)
+	}
+	return w.submit(j, callWait)
+}
+
+func (w *Crowd) submit(j Job, wait time.Duration) (model.Answer, error) {
+	body, err := json.Marshal(j.spec())
+	if err != nil {
+		return model.Answer{}, err
+	}
+	return w.call(http.MethodPost, "/v1/requests?wait="+wait.String(), j, body)
+}
+
+// cancel cancels the request at any entry instance, however often it takes.
+func (w *Crowd) cancel(j Job) {
+	for range cancelTries {
+		answer, err := w.submit(j, 0)
+		if err == nil && answer.ID != "" {
+			answer, err = w.call(http.MethodDelete, "/v1/requests/"+string(answer.ID), j, nil)
+		}
+		if err == nil && !callRefusals[result.Code(answer.Code)] {
+			return
+		}
+		time.Sleep(retryWait)
+	}
+}
+
+func (w *Crowd) call(method, path string, j Job, body []byte) (model.Answer, error) {
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+w.front()+path, bytes.NewReader(body))
+	if err != nil {
+		return model.Answer{}, err
+	}
+	if j.Team != Keyless {
+		request.Header.Set("Authorization", "Bearer "+secret(j.Team))
+	}
+	request.Header.Set("Idempotency-Key", j.Key)
+	answer, err := w.exchange(request)
+	if err != nil {
+		w.noteError(err)
+		return model.Answer{}, err
+	}
+	w.noteCode(answer.Code)
+	return answer, nil
+}
+
+func (w *Crowd) exchange(request *http.Request) (model.Answer, error) {
+	response, err := w.client.Do(request)
+	if err != nil {
+		return model.Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return model.Answer{}, err
+	}
+	var answer model.Answer
+	return answer, json.Unmarshal(raw, &answer)
+}
+
+func hashOf(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/integration/harness/observe.go
@@ -0,0 +1,135 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/audit"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
+	"github.com/hornbeamworks/hornbeam/standin"
+)
+
+// holderPoll is the time between two looks at the lease row.
+const holderPoll = 50 * time.Millisecond
+
+// Control posts a fault to the stand-ins: standin.TableFaults to "table",
+// standin.ObjectFaults to "objects", standin.EndpointEvent to "endpoints".
+func (c *Cluster) Control(what string, fault any) {
+	raw, err := json.Marshal(fault)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	response, err := http.Post("http://"+c.site+standin.AdminPath+what, "application/json", bytes.NewReader(raw))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+}
+
+// Records returns what the stand-ins have recorded.
+func (c *Cluster) Records() []standin.Record {
+	response, err := http.Get("http://" + c.site + standin.RecordsPath)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	records, err := audit.ReadRecords(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return records
+}
+
+// Stats returns the table's counters.
+func (c *Cluster) Stats() standin.TableStats {
+	response, err := http.Get("http://" + c.site + standin.StatsPath)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	var stats standin.TableStats
+	gomega.Expect(json.NewDecoder(response.Body).Decode(&stats)).To(gomega.Succeed())
+	return stats
+}
+
+// Starts returns the records of all starts, in their order.
+func (c *Cluster) Starts() []standin.Record {
+	var found []standin.Record
+	for _, r := range c.Records() {
+		if r.Kind == standin.Started {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// Started returns the number of attempts that have been started since the
+// warm-up.
+func (c *Cluster) Started() int { return len(c.Starts()) - c.warm }
+
+// StartsSince returns the numbers of starts after at in the first domain and
+// in the others.
+func (c *Cluster) StartsSince(at time.Time) (first, others int) {
+	for _, r := range c.Starts() {
+		if !r.Time.After(at) {
+			continue
+		}
+		if string(r.Domain) == c.Domains[0].Name {
+			first++
+		} else {
+			others++
+		}
+	}
+	return first, others
+}
+
+// NoStarts returns the time from at until the next start.
+func (c *Cluster) NoStarts(at time.Time) time.Duration {
+	for _, r := range c.Starts() {
+		if r.Time.After(at) {
+			return r.Time.Sub(at)
+		}
+	}
+	ginkgo.Fail("nothing was started any more")
+	return 0
+}
+
+// Endpoint returns the id of a domain's worker by its place.
+func (c *Cluster) Endpoint(at, worker int) model.EndpointID {
+	list := httpplatform.NewInstanceList("http://"+c.site, http.DefaultClient)
+	infos, err := list.Endpoints(context.Background(), model.DomainName(c.Domains[at].Name))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return infos[worker].ID
+}
+
+// Holder returns the scheduler whose address stands in the lease row of the
+// domain's first shard.
+func (c *Cluster) Holder(at int) *Daemon {
+	var found *Daemon
+	gomega.Eventually(func() *Daemon {
+		found = c.named(c.Domains[at])
+		return found
+	}).WithTimeout(Patience).WithPolling(holderPoll).ShouldNot(gomega.BeNil())
+	return found
+}
+
+func (c *Cluster) named(d *Domain) *Daemon {
+	row, err := c.Table().Get(context.Background(), "shard/"+d.Name+"/0/lease")
+	if err != nil {
+		return nil
+	}
+	for i, address := range d.addresses {
+		if strings.Contains(string(row.Value), address) {
+			return d.Scheds[i]
+		}
+	}
+	return nil
+}
+
+// Judge audits the run so far and fails the test when a promise was broken.
+func (c *Cluster) Judge(callers []audit.CallerRecord) {
+	report := audit.Check(audit.Input{Records: c.Records(), Callers: callers, Options: audit.DefaultOptions()})
+	var text bytes.Buffer
+	gomega.Expect(report.Write(&text)).To(gomega.Succeed())
+	ginkgo.GinkgoWriter.Print(text.String())
+	gomega.Expect(report.Violations).To(gomega.BeEmpty(), text.String())
+}
