--- /dev/null
+++ b/integration/replace/suite_test.go
@@ -0,0 +1,19 @@
+package replace_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/integration/harness"
+)
+
+func TestReplace(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replace")
+}
+
+var _ = BeforeSuite(harness.Build)
+
+var _ = BeforeEach(harness.PassOverKnownRed)
--- /dev/null
+++ b/integration/store/suite_test.go
@@ -0,0 +1,19 @@
+package store_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/integration/harness"
+)
+
+func TestStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store")
+}
+
+var _ = BeforeSuite(harness.Build)
+
+var _ = BeforeEach(harness.PassOverKnownRed)
