Serve operators and TLS at the gate, and lay out its peers

The gate mounts the operators' interface on the callers' listener and, when set, on one of their own that callers can't fill; it joins the membership in the layout. Certificates are read again when their files change. The keyring of package config replaces the gate's copy.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -10,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/hornbeamworks/hornbeam/certificate"
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/gate"
@@ -17,7 +19,10 @@
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/membership"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/operate"
+	operateapi "github.com/hornbeamworks/hornbeam/operate/httpapi"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
+	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
 	"github.com/hornbeamworks/hornbeam/process"
 	"github.com/hornbeamworks/hornbeam/routing"
@@ -28,12 +33,18 @@
 	settings  *programSettings
 	process   *process.Process
 	log       *logging.Logger
+	table     platform.Table
+	peers     *peerrpc.Client
 	keeper    *config.Keeper
+	writer    *config.Writer
 	router    *routing.Router
 	admission *gate.Admission
 	front     *gate.Gate
+	desk      *operate.Desk
 	// members is nil when the gate does not listen for peers.
 	members *membership.Membership
+	// certificate is nil when callers are served without TLS.
+	certificate *certificate.Keeper
 }
 
 // serve puts the process together and runs it to its end.
@@ -41,6 +52,9 @@
 	peers := peerrpc.NewClient()
 	defer peers.Close()
 	p := newProgram(s, log, peers)
+	if err := p.readCertificate(); err != nil {
+		return err
+	}
 	p.follow()
 	if err := p.listen(); err != nil {
 		return err
@@ -51,30 +65,60 @@
 
 func newProgram(s *programSettings, log *logging.Logger, peers *peerrpc.Client) *program {
 	system := clock.System{}
-	table := httpplatform.NewTable(s.Platform.Table, &http.Client{})
 	p := &program{
 		settings: s,
 		process:  process.New(log, system, s.Gate.DrainTimeout),
 		log:      log,
-		keeper:   config.NewKeeper(config.NewView(), table, system),
-	}
-	var known routing.Directory = s.addresses()
-	if s.Peers.Listen != "" {
-		p.members = membership.New(membership.Options{
-			Self: membership.Member{
-				Instance: model.InstanceID(uuid.NewString()), Role: membership.Gate,
-				Domain: model.DomainName(s.Peers.Domain), Address: s.Peers.Listen,
-			},
-			Seeds: s.seeds(), Keeper: p.keeper, Clock: system, Caller: peers,
-		})
-		known = directory{members: p.members.Directory(), settings: s.addresses()}
-	}
-	p.router = routing.NewRouter(routing.DefaultSettings(), system, known)
+		table:    httpplatform.NewTable(s.Platform.Table, &http.Client{}),
+		peers:    peers,
+	}
+	p.keeper = config.NewKeeper(config.NewView(), p.table, system)
+	p.router = routing.NewRouter(routing.DefaultSettings(), system, p.directory())
 	p.admission = gate.NewAdmission(s.bounds(), system, p.keeper.View())
 	p.front = gate.New(s.bounds(), system, p.admission, routing.NewCaller(p.router, peers, system), log)
+	p.writer = config.NewWriter(config.WriterOptions{
+		Table: p.table, Clock: system, Keeper: p.keeper, Usage: operate.LedgerUsage(p.table),
+	})
+	p.desk = operate.New(operate.Options{
+		View: p.keeper.View(), Writer: p.writer, Table: p.table, Members: p.memberList, Clock: system,
+	})
 	return p
 }
 
+// directory joins the membership, if the settings say so, and returns who may
+// hold a shard.
+func (p *program) directory() routing.Directory {
+	s := p.settings
+	if s.Peers.Listen == "" {
+		return s.addresses()
+	}
+	p.members = membership.New(membership.Options{
+		Self: membership.Member{
+			Instance: model.InstanceID(uuid.NewString()), Role: membership.Gate,
+			Domain: model.DomainName(s.Peers.Domain), Address: s.Peers.Listen,
+		},
+		Seeds: s.seeds(), Keeper: p.keeper, Clock: clock.System{}, Caller: p.peers,
+	})
+	return directory{members: p.members.Directory(), settings: s.addresses()}
+}
+
+// memberList returns the processes that are known.
+func (p *program) memberList() []membership.Status {
+	if p.members == nil {
+		return nil
+	}
+	return p.members.Directory().Members()
+}
+
+func (p *program) readCertificate() error {
+	if !p.settings.TLS.Enabled() {
+		return nil
+	}
+	keeper, err := certificate.NewKeeper(p.settings.TLS, p.log)
+	p.certificate = keeper
+	return err
+}
+
 // follow hands each version of the configuration to admission. The process is
 // ready once the first one is in force.
 func (p *program) follow() {
@@ -86,7 +130,8 @@
 	})
 }
 
-// listen starts the servers for callers, for peers and for the process's pages.
+// listen starts the servers for callers and operators, for peers and for the
+// process's pages.
 func (p *program) listen() error {
 	s := p.settings
 	admin, err := net.Listen("tcp", s.Gate.Admin)
@@ -94,19 +139,41 @@
 		return eris.Wrap(err, "listening for the process's pages")
 	}
 	p.process.Group().Serve(serveUntilDone(admin, p.process.AdminServer()))
-	callers, err := net.Listen("tcp", s.Gate.Listen)
-	if err != nil {
-		return eris.Wrap(err, "listening for callers")
+	if err := p.listenForCallers(s.Gate.Listen); err != nil {
+		return err
+	}
+	if s.Gate.Operators != "" {
+		if err := p.listenForCallers(s.Gate.Operators); err != nil {
+			return err
+		}
 	}
-	server := httpapi.Server(p.front, s.limits())
-	p.process.OnDrain(func(ctx context.Context) { httpapi.Drain(ctx, p.front, server, s.Gate.DrainLinger) })
-	p.process.Group().Serve(serveUntilDone(httpapi.Listen(callers, s.limits()), server))
 	if p.members == nil {
 		return nil
 	}
 	return p.listenForPeers()
 }
 
+// listenForCallers serves callers and operators at the address.
+func (p *program) listenForCallers(address string) error {
+	limits := p.settings.limits()
+	callers, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listening for callers")
+	}
+	callers = httpapi.Listen(callers, limits)
+	if p.certificate != nil {
+		callers = tls.NewListener(callers, p.certificate.Config())
+	}
+	server := httpapi.Server(p.front, limits)
+	mux := http.NewServeMux()
+	mux.Handle("/", server.Handler)
+	mux.Handle(operateapi.Root, operateapi.Handler(p.desk))
+	server.Handler = mux
+	p.process.OnDrain(func(ctx context.Context) { httpapi.Drain(ctx, p.front, server, p.settings.Gate.DrainLinger) })
+	p.process.Group().Serve(serveUntilDone(callers, server))
+	return nil
+}
+
 func (p *program) listenForPeers() error {
 	listener, err := net.Listen("tcp", p.settings.Peers.Listen)
 	if err != nil {
@@ -124,6 +191,11 @@
 func (p *program) start() {
 	p.process.Start(p.router, p.admission)
 	p.process.Start(p.keeper.Duties()...)
+	p.process.Start(p.writer.Duties()...)
+	p.process.Start(p.desk.Duties()...)
+	if p.certificate != nil {
+		p.process.Start(p.certificate)
+	}
 	if p.members != nil {
 		p.process.Start(p.members.Duties()...)
 		p.process.OnDrain(func(context.Context) { p.members.Leave() })
--- a/cmd/hornbeam-gate/settings.go
+++ b/cmd/hornbeam-gate/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeamworks/hornbeam/certificate"
 	"github.com/hornbeamworks/hornbeam/gate"
 	"github.com/hornbeamworks/hornbeam/gate/httpapi"
 	"github.com/hornbeamworks/hornbeam/logging"
@@ -18,7 +19,9 @@
 	Peers    peerSettings     `ini:"peers"`
 	Domains  []domainSettings `ini:"domain.*" validate:"dive"`
 	Limits   limitSettings    `ini:"limits"`
-	Log      logging.Settings `ini:"log"`
+	// TLS names the certificate of the listeners for callers and operators.
+	TLS certificate.Settings `ini:"tls"`
+	Log logging.Settings     `ini:"log"`
 }
 
 // gateSettings are the process's own addresses and times.
@@ -26,6 +29,9 @@
 	// Listen is the address for callers, Admin the one for the process's pages.
 	Listen string `ini:"listen" validate:"hostname_port"`
 	Admin  string `ini:"admin" validate:"hostname_port"`
+	// Operators is a listener for operators alone, which callers can't fill;
+	// they are also served on Listen.
+	Operators string `ini:"operators" validate:"omitempty,hostname_port"`
 	// DrainTimeout bounds the time from SIGTERM to the end of the process.
 	DrainTimeout time.Duration `ini:"drain_timeout" validate:"min=1s,max=10m"`
 	// DrainLinger is how long newcomers are refused with a code before the
--- a/deployment/layout/layout.go
+++ b/deployment/layout/layout.go
@@ -38,7 +38,7 @@
 	folderMode = 0o700
 	fileMode   = 0o600
 	// portsPerInstance is the number of ports that an entry instance uses.
-	portsPerInstance = 4
+	portsPerInstance = 5
 )
 
 // Options say where the processes listen.
@@ -62,7 +62,7 @@
 // instance is an entry instance with its addresses.
 type instance struct {
 	deployment.EntryInstance
-	gate, gateAdmin, sched, schedAdmin string
+	gate, gateAdmin, sched, schedAdmin, gatePeers string
 }
 
 // Write writes the layout of d.
@@ -91,6 +91,7 @@
 			gateAdmin:     loopback(first + 1),
 			sched:         loopback(first + 2),
 			schedAdmin:    loopback(first + 3),
+			gatePeers:     loopback(first + 4),
 		})
 	}
 }
--- a/deployment/layout/settings.go
+++ b/deployment/layout/settings.go
@@ -70,6 +70,7 @@
 	l.add("hornbeam-gate", name, i.gateAdmin)
 	sections := []section{
 		{"gate", []pair{{"listen", i.gate}, {"admin", i.gateAdmin}}},
+		{"peers", []pair{{"listen", i.gatePeers}, {"domain", string(i.Domain)}}},
 		{"platform", []pair{{"table", l.platformURL()}}},
 	}
 	for _, domain := range l.deployment.Fleet.Domains {
--- a/gate/admission.go
+++ b/gate/admission.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/result"
@@ -49,7 +49,7 @@
 
 	config  *model.Config
 	homes   *routing.Homes
-	keys    *keyring
+	keys    *config.Keyring
 	visits  map[*grant]bool
 	teams   map[model.TeamName]*teamUse
 	leaving []chan<- struct{}
@@ -64,7 +64,7 @@
 
 // grant is one admitted visit. Its fields are fixed once it is granted.
 type grant struct {
-	digest  digest
+	digest  config.Digest
 	keyed   bool
 	key     model.Key
 	team    model.TeamName
@@ -130,7 +130,7 @@
 
 // enter is called by fronts.
 func (a *Admission) enter(secret string, verb Verb, cancel context.CancelCauseFunc) *grant {
-	g := &grant{keyed: secret != "", digest: sha256.Sum256([]byte(secret)), cancel: cancel}
+	g := &grant{keyed: secret != "", digest: config.DigestOf(secret), cancel: cancel}
 	reply := make(chan *grant, 1)
 	if !a.Offer(enterMessage{grant: g, verb: verb, reply: reply}) {
 		g.refuse(result.Busy, "the entry instance has too much under way")
@@ -185,7 +185,7 @@
 	}
 	a.config = m.config
 	a.homes = routing.NewHomes(m.config.Domains)
-	a.keys = newKeyring(m.config.Keys)
+	a.keys = config.NewKeyring(m.config.Keys)
 	for g := range a.visits {
 		if !a.stillValid(g) {
 			g.cancel(errWithdrawn)
@@ -199,7 +199,7 @@
 	if !g.keyed {
 		return true
 	}
-	key, ok := a.keys.find(g.digest)
+	key, ok := a.keys.Find(g.digest)
 	return ok && key.Team == g.key.Team && key.Role == g.key.Role
 }
 
@@ -227,7 +227,7 @@
 	if !g.keyed {
 		return
 	}
-	key, ok := a.keys.find(g.digest)
+	key, ok := a.keys.Find(g.digest)
 	if !ok {
 		g.refuse(result.BadKey, "the key is unknown or withdrawn")
 		return
--- a/gate/inspect.go
+++ b/gate/inspect.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"slices"
 
 	"github.com/hornbeamworks/hornbeam/model"
@@ -82,18 +83,25 @@
 
 func (v *Visit) shardAccount(shard model.ShardID) ShardAccount {
 	account := ShardAccount{Shard: shard.String()}
-	outcome := v.callHolder(shard, methodStatus, false, 0, func(hops int) any {
-		return peer.StatusRequest{Shard: shard, Hops: hops}
-	})
-	if !outcome.Reached || outcome.Reply.Status == nil {
+	status, answered := v.gate.shardStatus(v.ctx, shard)
+	if !answered {
 		account.Code, account.Reason = int(result.HomeUnreachable), "the shard's holder does not answer"
 		return account
 	}
-	account.Code, account.Status = int(result.OK), outcome.Reply.Status
+	account.Code, account.Status = int(result.OK), status
 	account.Status.Teams = slices.DeleteFunc(account.Status.Teams, func(t peer.TeamStatus) bool { return !v.sees(t.Team) })
 	return account
 }
 
+// shardStatus asks the holder of the shard how it stands; answered is false
+// when it does not say.
+func (g *Gate) shardStatus(ctx context.Context, shard model.ShardID) (status *peer.ShardStatus, answered bool) {
+	outcome := g.callHolder(ctx, shard, methodStatus, false, 0, func(hops int) any {
+		return peer.StatusRequest{Shard: shard, Hops: hops}
+	})
+	return outcome.Reply.Status, outcome.Reached && outcome.Reply.Status != nil
+}
+
 // scope is the team whose requests the visit sees; empty stands for all.
 func (v *Visit) scope() model.TeamName {
 	if v.grant.keyed && v.grant.key.Role != model.Submitter {
--- a/gate/visit.go
+++ b/gate/visit.go
@@ -195,21 +195,21 @@
 	if err != nil {
 		return routing.Outcome{}
 	}
-	outcome := v.callHolder(home, method, exposes, extra, args)
+	outcome := v.gate.callHolder(v.ctx, home, method, exposes, extra, args)
 	outcome.Reply.Answer.ID = id
 	return outcome
 }
 
 // callHolder asks the holder of the shard.
-func (v *Visit) callHolder(home model.ShardID, method string, exposes bool, extra time.Duration, args func(hops int) any) routing.Outcome {
-	try := v.gate.settings.Try
-	ctx, cancel := context.WithTimeout(v.ctx, try+extra)
+func (g *Gate) callHolder(parent context.Context, home model.ShardID, method string, exposes bool, extra time.Duration, args func(hops int) any) routing.Outcome {
+	try := g.settings.Try
+	ctx, cancel := context.WithTimeout(parent, try+extra)
 	defer cancel()
 	question := routing.Question{Shard: home, Method: method, Exposes: exposes, Try: try, Args: args}
 	if !exposes {
 		question.Try += extra
 	}
-	return v.gate.caller.Call(ctx, question)
+	return g.caller.Call(ctx, question)
 }
 
 // known reports whether the id names a shard of the configuration.
