--- a/cmd/hornbeam-sched/settings.go
+++ b/cmd/hornbeam-sched/settings.go
@@ -44,7 +44,6 @@
 	ShardPoll    time.Duration `ini:"shard_poll" validate:"min=10ms,max=10s"`
 	StartLease   time.Duration `ini:"start_lease" validate:"min=200ms,max=1m"`
 	TaskLease    time.Duration `ini:"task_lease" validate:"min=500ms,max=10m"`
-	JournalPace  time.Duration `ini:"journal_pace" validate:"min=1ms,max=10s"`
 	SyncPeriod   time.Duration `ini:"sync_period" validate:"min=10ms,max=10s"`
 	IdlePeriod   time.Duration `ini:"idle_period" validate:"min=10ms,max=10s"`
 	SyncTimeout  time.Duration `ini:"sync_timeout" validate:"min=10ms,max=10s"`
@@ -58,6 +57,8 @@
 	Open        int `ini:"open" validate:"min=1,max=1000000"`
 	Unrecorded  int `ini:"unrecorded" validate:"min=1,max=1000000"`
 	Waiters     int `ini:"waiters" validate:"min=1,max=1000000"`
+	// JournalRows is the number of journal rows a second of the whole system.
+	JournalRows int `ini:"journal_rows" validate:"min=1,max=10000"`
 }
 
 // loadSettings reads the file over the defaults.
@@ -76,12 +77,13 @@
 		Log:   logging.Settings{Level: "info"},
 		Times: timeSettings{
 			ShardLease: d.Lease.Lease, ShardRenew: d.Lease.Renew, ShardPoll: d.Lease.Poll,
-			StartLease: d.StartLease, TaskLease: d.TaskLease, JournalPace: d.Journal.Pace,
+			StartLease: d.StartLease, TaskLease: d.TaskLease,
 			SyncPeriod: d.SyncPeriod, IdlePeriod: d.IdlePeriod, SyncTimeout: d.SyncTimeout,
 			Retention: d.Journal.Retention, DrainTimeout: d.DrainTimeout,
 		},
 		Bounds: boundSettings{
 			SyncWorkers: d.SyncWorkers, Open: d.MaxOpen, Unrecorded: d.MaxUnrecorded, Waiters: d.MaxWaiters,
+			JournalRows: d.JournalBudget,
 		},
 	}
 }
@@ -91,7 +93,7 @@
 	d := sched.DefaultSettings()
 	d.Lease.Lease, d.Lease.Renew, d.Lease.Poll = s.Times.ShardLease, s.Times.ShardRenew, s.Times.ShardPoll
 	d.StartLease, d.TaskLease = s.Times.StartLease, s.Times.TaskLease
-	d.Journal.Pace, d.Journal.Retention = s.Times.JournalPace, s.Times.Retention
+	d.Journal.Retention, d.JournalBudget = s.Times.Retention, s.Bounds.JournalRows
 	d.SyncPeriod, d.IdlePeriod, d.SyncTimeout = s.Times.SyncPeriod, s.Times.IdlePeriod, s.Times.SyncTimeout
 	d.DrainTimeout = s.Times.DrainTimeout
 	d.SyncWorkers, d.MaxOpen = s.Bounds.SyncWorkers, s.Bounds.Open
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -63,6 +63,9 @@
 	Entry Entry
 }
 
+// Pace changes the least time between two rows.
+type Pace time.Duration
+
 // Close ends the epoch; entries not yet written are dropped.
 type Close struct{}
 
@@ -146,6 +149,8 @@
 	}
 }
 
+func (m Pace) deliver(w *Writer) { w.settings.Pace = time.Duration(m) }
+
 func (Close) deliver(w *Writer) { w.fire(w.chart.close) }
 
 // fire hands the event to the chart, then what its actions brought about.
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -81,6 +81,7 @@
 		return
 	}
 	a.sent = true
+	a.record.exposed = true
 	a.record.unsettled++
 }
 
--- a/sched/record.go
+++ b/sched/record.go
@@ -33,6 +33,8 @@
 	attempts []*attempt
 	// unsettled counts the attempts that were sent and not answered for.
 	unsettled int
+	// exposed says that an attempt was sent at some time.
+	exposed bool
 	// ran says that an attempt has run.
 	ran bool
 	// uncertain says that an attempt may have run.
@@ -136,7 +138,13 @@
 	r.shard.append(entry, answerDurable{r})
 }
 
+// refuseUnrecorded ends a request at the end of its window. None of its starts
+// has been sent, since none can be on record.
 func (r *record) refuseUnrecorded() {
+	r.shard.withdraw(r)
+	if r.handed {
+		r.shard.policy.Cancel(r.shard.now, r.request.ID)
+	}
 	answer := result.Answer(r.request.ID, result.StoreUnavailable, "the request could not be recorded inside its window")
 	r.answer = &answer
 }
@@ -198,6 +206,9 @@
 	if e.Code == result.OK {
 		return r.wholeAnswer()
 	}
+	if e.Code == result.OutcomeUnknown && !r.exposed && !r.ran && !r.uncertain {
+		return r.neverSent()
+	}
 	answer := result.Answer(r.request.ID, e.Code, e.Reason)
 	unsure := r.uncertain || r.unsettled > 0
 	if answer.Ran != model.NotRun || (!unsure && !r.ran) {
@@ -212,5 +223,14 @@
 	return result.Answer(r.request.ID, result.TaskFailed, e.Reason)
 }
 
+// neverSent is the answer of a request whose window ended while its starts
+// waited for their record.
+func (r *record) neverSent() model.Answer {
+	if r.shard.storeUp {
+		return result.Answer(r.request.ID, result.WindowPassed, "the window ended before the work could start")
+	}
+	return result.Answer(r.request.ID, result.StoreUnavailable, "the start could not be recorded inside the window")
+}
+
 // pending is the answer of a request that has none.
 func pending(id model.RequestID) model.Answer { return result.Answer(id, result.Pending, "") }
--- a/sched/requests.go
+++ b/sched/requests.go
@@ -30,7 +30,10 @@
 	r.submitters = append(r.submitters, s.waiting(m.caller))
 	r.fire(s.recordChart.submitted)
 	submissions.Add(1)
-	if !request.Spec.NotRepeatable {
+	// The intent to start work that runs at most once is on record before the
+	// start is sent, and the acceptance before the intent: so it can be planned
+	// at once. While the store is down it would only keep capacity from others.
+	if !request.Spec.NotRepeatable || s.storeUp {
 		s.handOver(r)
 	}
 }
--- a/sched/settings.go
+++ b/sched/settings.go
@@ -20,6 +20,10 @@
 	Lease shard.LeaseSettings
 	// Journal is the journal of a shard.
 	Journal journal.Settings
+	// JournalBudget is the number of journal rows a second that all shards of
+	// the system may write together. Each shard's pace follows from it and from
+	// the number of shards; 0 leaves the pace as it is set.
+	JournalBudget int
 	// StartLease is how long an endpoint's acceptance vouches for the epoch.
 	StartLease time.Duration
 	// Fresh bounds how late a Sync may take effect at an endpoint.
@@ -64,7 +68,7 @@
 			Timeout: 700 * time.Millisecond,
 		},
 		Journal: journal.Settings{
-			Pace:         200 * time.Millisecond,
+			Pace:         150 * time.Millisecond,
 			RowEntries:   1024,
 			SnapshotRows: 512,
 			Retention:    10 * time.Minute,
@@ -72,6 +76,7 @@
 			Retry:        200 * time.Millisecond,
 			DownAfter:    500 * time.Millisecond,
 		},
+		JournalBudget: 20,
 		StartLease:    time.Second,
 		Fresh:         time.Second,
 		TaskLease:     3 * time.Second,
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -249,6 +250,17 @@
 	s.policy.SetFleet(s.fleetKnown())
 }
 
+// setPace divides the system's budget of journal rows among its shards.
+func (s *Shard) setPace() {
+	shards := 0
+	for _, domain := range s.config.Domains {
+		shards += domain.Shards
+	}
+	if budget := s.settings.JournalBudget; budget > 0 && shards > 0 {
+		s.ports.Journal(journal.Pace(time.Second * time.Duration(shards) / time.Duration(budget)))
+	}
+}
+
 func (m fleet) deliver(s *Shard) {
 	s.fleet = m.endpoints
 	if s.holding() {
@@ -261,6 +273,7 @@
 		return
 	}
 	s.config = m.config
+	s.setPace()
 	if s.holding() {
 		s.policy.SetConfig(s.now, s.config)
 		s.dirty = true
