--- a/policy/work/queue.go
+++ b/policy/work/queue.go
@@ -195,8 +195,12 @@
 	q.Len++
 }
 
-// lastBefore returns the last job that stands before j, seen from the front.
+// lastBefore returns the last job that stands before j, seen from the front. A
+// job that belongs at the end, as in a take-over, is seen at once.
 func (q *Queue) lastBefore(j *Job) *Job {
+	if q.Last == nil || q.Last.Before(j) {
+		return q.Last
+	}
 	var found *Job
 	for at := q.First; at != nil && at.Before(j); at = at.Next {
 		found = at
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -36,6 +36,8 @@
 	fleet   *standin.Fleet
 	config  *model.Config
 	started int
+	// cleanup has functions called at the end, the last one first.
+	cleanup func(end func())
 }
 
 // member is one scheduler process.
@@ -60,7 +62,12 @@
 }
 
 func newWorld(endpoints int) *world {
-	w := &world{ctx: context.Background(), config: testConfig()}
+	return newWorldUntil(endpoints, func(end func()) { DeferCleanup(end) })
+}
+
+// newWorldUntil has its end called by cleanup.
+func newWorldUntil(endpoints int, cleanup func(end func())) *world {
+	w := &world{ctx: context.Background(), config: testConfig(), cleanup: cleanup}
 	var infos []model.EndpointInfo
 	for i := range endpoints {
 		infos = append(infos, model.EndpointInfo{
@@ -74,7 +81,7 @@
 	group := duty.NewGroup(w.ctx)
 	runners := []duty.Runner{w.table.Duty(), w.objects.Duty(), w.fleet.Duty()}
 	group.Start(runners...)
-	DeferCleanup(func() {
+	cleanup(func() {
 		for _, r := range runners {
 			r.Stop()
 		}
@@ -118,7 +125,7 @@
 	m.daemon.Configure(w.config, nil)
 	m.service = sched.NewService(w.ctx, clock.System{}, map[model.ShardID]func(sched.Message) bool{home: m.daemon.Offer})
 	m.group.Start(m.daemon.Duties()...)
-	DeferCleanup(m.stop)
+	w.cleanup(m.stop)
 	return m
 }
 
--- a/sched/store_test.go
+++ b/sched/store_test.go
@@ -68,6 +68,7 @@
 		settings.Journal.Pace = 100 * time.Millisecond
 		m := w.startWith(settings, w.table.Client(), w.fleet.Client())
 		m.submit(request("first", "screen", time.Millisecond))
+		m.answer(request("first", "screen", time.Millisecond))
 		w.tableFaults(standin.TableFaults{Outage: true})
 		const requests = 200
 		var answers []<-chan model.Answer
@@ -98,6 +99,7 @@
 		settings.MaxUnrecorded = 40
 		m := w.startWith(settings, w.table.Client(), w.fleet.Client())
 		m.submit(request("first", "screen", time.Millisecond))
+		m.answer(request("first", "screen", time.Millisecond))
 		w.tableFaults(standin.TableFaults{Outage: true})
 		codes := map[int]int{}
 		for i := range 60 {
@@ -114,6 +116,7 @@
 		w, c := newWorld(3), &callers{}
 		m := w.start()
 		m.submit(request("first", "screen", time.Millisecond))
+		m.answer(request("first", "screen", time.Millisecond))
 		var sent []peer.SubmitRequest
 		for i := range 30 {
 			w.tableFaults(standin.TableFaults{LoseReplies: 1})
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -75,7 +77,7 @@
 		se.place()
 		s.inherit(se)
 	}
-	for _, r := range s.active {
+	for _, r := range s.oldestFirst() {
 		if r.former {
 			s.adopt(r)
 			continue
@@ -90,6 +92,17 @@
 	s.dirty = true
 }
 
+// oldestFirst returns the open requests in the order of their acceptance, in
+// which the scheduler's queues take them in at their ends.
+func (s *Shard) oldestFirst() []*record {
+	return slices.SortedFunc(maps.Values(s.active), func(a, b *record) int {
+		return cmp.Or(
+			a.request.Accepted.Compare(b.request.Accepted),
+			strings.Compare(string(a.request.ID), string(b.request.ID)),
+		)
+	})
+}
+
 // inherit notes what the endpoint runs, or has ended, of open requests.
 func (s *Shard) inherit(se *session) {
 	for _, r := range se.adoption.Running {
