Learn sizes both ways and reserve for what is blocked

Sizes are now lowered as well as raised: raised on 8 samples to the 90% quantile, lowered on 32 samples to the 99% quantile and a quarter of headroom, never below a tenth of the declared size or what an earlier attempt of the task used. Beside that: the share in earlier tiers counts together, a reservation stands before other starts and is kept by the tier in the order, a team below its share takes back checkpointed work after 10 s.

--- a/policy/cell/config.go
+++ b/policy/cell/config.go
@@ -145,9 +145,14 @@
 	}
 }
 
-// updateQueue gives the queue its key and its place.
+// updateQueue gives the queue its key and its place. It is tried again when it
+// has moved to an earlier tier, which may use what is reserved for later ones.
 func (c *Cell) updateQueue(q *work.Queue) {
+	before := q.Key.Tier
 	q.Key = q.NewKey(c.total)
+	if q.Key.Tier < before {
+		q.Blocked = false
+	}
 	c.picker.Update(q)
 }
 
--- a/policy/cell/decide.go
+++ b/policy/cell/decide.go
@@ -19,13 +19,13 @@
 	c.runTimers()
 	c.runProbes()
 	c.reviewReservations()
+	c.reserveHeads()
 	c.round++
 	if c.exhaustive {
 		c.unblockAll()
 	}
 	starts := c.startAll(plan)
 	c.preempt()
-	c.reserveHead()
 	c.flush(plan)
 	plan.Wake = c.nextWake(starts)
 }
--- a/policy/cell/finish.go
+++ b/policy/cell/finish.go
@@ -6,6 +6,7 @@
 
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/policy/estimate"
 	"github.com/hornbeamworks/hornbeam/policy/work"
 )
 
@@ -15,6 +16,14 @@
 	learnPeriod = 8
 	// sizeQuantile is the part of the tasks that a learned size holds.
 	sizeQuantile = 0.9
+	// lowerSamples is the least evidence for committing less than declared.
+	lowerSamples = 32
+	// lowerQuantile is the part of the tasks that a lowered size holds.
+	lowerQuantile = 0.99
+	// lowerMargin is the headroom of a lowered size.
+	lowerMargin = 1.25
+	// leastFactor bounds how far a size is lowered.
+	leastFactor = 0.1
 	// timeQuantile is the part of the tasks that a learned run time covers.
 	timeQuantile = 0.8
 	// factorChange is the least relative change of a factor that counts.
@@ -124,8 +133,7 @@
 		changed = true
 	}
 	for r := range work.Learned {
-		factor, known := q.Sizes[r].Quantile(sizeQuantile)
-		factor = max(1, factor)
+		factor, known := sizeFactor(&q.Sizes[r])
 		if known && math.Abs(factor/q.Factors[r]-1) > factorChange {
 			q.Factors[r] = factor
 			changed = true
@@ -137,6 +145,20 @@
 	}
 }
 
+// sizeFactor is by how much declared sizes are multiplied. They are raised on
+// little evidence and lowered only on much, to what nearly every task holds.
+func sizeFactor(sizes *estimate.Ratio) (factor float64, known bool) {
+	factor, known = sizes.Quantile(sizeQuantile)
+	if !known || factor >= 1 {
+		return factor, known
+	}
+	if sizes.Weight() < lowerSamples {
+		return 1, true
+	}
+	factor, _ = sizes.Quantile(lowerQuantile)
+	return min(1, max(factor*lowerMargin, leastFactor)), true
+}
+
 // resize makes the jobs of the queue work out their sizes anew.
 func (c *Cell) resize(q *work.Queue) {
 	j := q.First
--- a/policy/cell/preempt.go
+++ b/policy/cell/preempt.go
@@ -14,6 +14,9 @@
 	preemptAfter = 4
 	// reclaimAfter is the same for a team that takes back its share.
 	reclaimAfter = 2
+	// reclaimCheckpoint is the wait after which a team takes back its share
+	// from work that is only checkpointed.
+	reclaimCheckpoint = 10 * time.Second
 	// preemptPeriod is the least time between two preemptions.
 	preemptPeriod = 20 * time.Millisecond
 	// preemptNodes is the most endpoints that are looked at for one job.
@@ -84,11 +87,12 @@
 func (c *Cell) entitled(q *work.Queue) bool {
 	j := q.First
 	waited := c.now.Sub(j.Request.Accepted)
-	if waited < j.Class.MaxWait/preemptAfter || j.Gang() || j.Reserved > 0 {
+	least := min(j.Class.MaxWait/preemptAfter, reclaimCheckpoint)
+	if waited < least || j.Gang() || j.Reserved > 0 {
 		return false
 	}
-	outranks := mayOutrank(q)
-	reclaims := waited >= j.Class.MaxWait/reclaimAfter && q.Team.Account.Ratio() < underShare
+	outranks := mayOutrank(q) && waited >= j.Class.MaxWait/preemptAfter
+	reclaims := q.Team.Account.Ratio() < underShare && waited >= reclaimCheckpoint
 	return (outranks || reclaims) && !c.Limited(j)
 }
 
@@ -99,13 +103,18 @@
 }
 
 // mayTake reports whether the queue may preempt the task.
-func mayTake(q *work.Queue, t *work.Task) bool {
-	if _, may := treatmentOf(t.Job); !may || !t.Placed() || t.Job.Queue.Tier < q.Tier {
+func (c *Cell) mayTake(q *work.Queue, t *work.Task) bool {
+	treatment, may := treatmentOf(t.Job)
+	if !may || !t.Placed() || t.Job.Queue.Tier < q.Tier {
 		return false
 	}
-	if mayOutrank(q) && t.Job.Queue.Tier > q.Tier {
+	waited, maxWait := c.now.Sub(q.First.Request.Accepted), q.First.Class.MaxWait
+	if mayOutrank(q) && t.Job.Queue.Tier > q.Tier && waited >= maxWait/preemptAfter {
 		return true
 	}
+	if treatment != model.Checkpoint && waited < maxWait/reclaimAfter {
+		return false
+	}
 	return q.Team.Account.Ratio() < underShare && t.Job.Team.Account.Ratio() > overShare
 }
 
@@ -132,7 +141,7 @@
 	var best *work.Task
 	least := 0.0
 	for _, t := range n.Tasks {
-		if !gives(t, missing) || !mayTake(q, t) || c.chosenVictim(t) {
+		if !gives(t, missing) || !c.mayTake(q, t) || c.chosenVictim(t) {
 			continue
 		}
 		lost := c.lostTime(t).Seconds() * t.Size.DominantShare(n.Info.Capacity)
--- a/policy/cell/reserve.go
+++ b/policy/cell/reserve.go
@@ -15,9 +15,14 @@
 	// reservePeriod is how often the reservation for the first job that can't
 	// start is worked out anew.
 	reservePeriod = time.Second
+	// reserveJobs is the most jobs that are reserved for at a time.
+	reserveJobs = 1
 	// reserveAfter divides the longest wait: a job that has waited for this
 	// part of it is reserved for.
 	reserveAfter = 8
+	// reserveUnderShare is the longest time that a job of a team below its
+	// share waits before it is reserved for.
+	reserveUnderShare = 5 * time.Second
 	// overrun divides the expected run time of an attempt that has outlived
 	// it: it is expected to run for this part of it longer.
 	overrun = 4
@@ -29,19 +34,27 @@
 	node *work.Node
 }
 
-// reserveHead keeps endpoints for the first job that can't start: those where
-// its tasks will soonest have room together. Others may use them if they are
-// expected to end before that (EASY backfill, Lifka 1995). One job is reserved
-// for at a time, so that no two gangs can wait for each other.
-func (c *Cell) reserveHead() {
+// reserveHeads keeps endpoints for the first jobs that can't start.
+func (c *Cell) reserveHeads() {
 	if c.now.Sub(c.reviewed) < reservePeriod {
 		return
 	}
 	c.reviewed = c.now
-	j := c.firstBlocked()
-	if j == nil {
-		return
+	for range reserveJobs {
+		j := c.firstBlocked()
+		if j == nil {
+			return
+		}
+		c.reserveFor(j)
 	}
+}
+
+// reserveFor keeps the endpoints where the job's tasks will soonest have room
+// together. Others may use them if they are expected to end before that (EASY
+// backfill, Lifka 1995). Jobs are reserved for in their order and for a short
+// time, so that the first one always gets what it needs and no two gangs wait
+// for each other.
+func (c *Cell) reserveFor(j *work.Job) {
 	c.findSlots(j)
 	count := j.Count()
 	if len(c.slots) < count {
@@ -64,7 +77,7 @@
 		if !q.Blocked || q.Len == 0 || c.Limited(q.First) || q.First.Reserved > 0 {
 			continue
 		}
-		if c.now.Sub(q.First.Request.Accepted) < q.First.Class.MaxWait/reserveAfter {
+		if c.now.Sub(q.First.Request.Accepted) < reserveWait(q) {
 			continue
 		}
 		if first == nil || q.Before(first) {
@@ -77,6 +90,16 @@
 	return first.First
 }
 
+// reserveWait is how long the oldest job of the queue waits before it is
+// reserved for: less when its team is below its share.
+func reserveWait(q *work.Queue) time.Duration {
+	wait := q.First.Class.MaxWait / reserveAfter
+	if q.Team.Account.Ratio() < underShare {
+		return min(wait, reserveUnderShare)
+	}
+	return wait
+}
+
 // findSlots fills c.slots with the times at which each endpoint has room for
 // one task of the job more.
 func (c *Cell) findSlots(j *work.Job) {
@@ -129,6 +152,7 @@
 		j.Reserved++
 	}
 	n.Reserved, n.ReservedUntil, n.ReserveEnds = j, start, lapses
+	n.ReservedTier = j.Queue.Key.Tier
 }
 
 // reviewReservations gives up the reservations that have lapsed.
--- a/policy/cell/start.go
+++ b/policy/cell/start.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/model"
@@ -131,29 +132,40 @@
 	return j.Size
 }
 
-// newSize is what the task's next attempt commits: the largest of the declared
-// size, the size learned for its class and team and the most that an earlier
-// attempt used, as far as endpoints and the team's limit can hold it.
+// newSize is what the task's next attempt commits: the size learned for its
+// class and team, or the declared one while little is known, and at least the
+// most that an earlier attempt used. What is raised above the declared size is
+// bounded by what an endpoint and the team's limit can hold.
 func (c *Cell) newSize(t *work.Task) model.Resources {
 	j := t.Job
 	declared := j.Request.Spec.Size
 	learned := declared
 	for r := range work.Learned {
-		learned[r] = int64(float64(declared[r]) * j.Queue.Factors[r])
+		learned[r] = int64(math.Ceil(float64(declared[r]) * j.Queue.Factors[r]))
 	}
-	learned = learned.Max(t.Floor).Max(declared)
+	learned = learned.Max(t.Floor)
 	if learned == declared {
 		return declared
 	}
-	count := int64(j.Count())
+	most := c.mostSize(j, learned.Max(declared))
 	for r := range learned {
-		learned[r] = max(declared[r], min(learned[r], j.Team.Limit[r]/count))
+		learned[r] = min(learned[r], most[r])
 	}
-	learned = c.own.Clamp(learned, declared)
-	if count > 1 && !c.own.Holds(learned, int(count)) {
+	return learned
+}
+
+// mostSize lowers a size above the declared one to what the endpoints and the
+// team's limit can hold.
+func (c *Cell) mostSize(j *work.Job, size model.Resources) model.Resources {
+	declared, count := j.Request.Spec.Size, j.Count()
+	for r := range size {
+		size[r] = max(declared[r], min(size[r], j.Team.Limit[r]/int64(count)))
+	}
+	size = c.own.Clamp(size, declared)
+	if count > 1 && !c.own.Holds(size, count) {
 		return declared
 	}
-	return learned
+	return size
 }
 
 // duration is how long an attempt of the job is expected to run.
--- a/policy/estimate/ratio.go
+++ b/policy/estimate/ratio.go
@@ -47,6 +47,9 @@
 	r.weight /= 2
 }
 
+// Weight returns how much evidence there is, in samples.
+func (r *Ratio) Weight() float64 { return float64(r.weight) }
+
 // Quantile returns the upper bound of the bucket that the quantile q falls
 // into; ok is false while there are too few samples.
 func (r *Ratio) Quantile(q float64) (ratio float64, ok bool) {
--- a/policy/work/node.go
+++ b/policy/work/node.go
@@ -41,6 +41,8 @@
 	Reserved *Job
 	// ReservedUntil is when the reservation's job is expected to start.
 	ReservedUntil time.Time
+	// ReservedTier is the tier that the job had in the order.
+	ReservedTier int
 	// ReserveEnds is when the reservation lapses.
 	ReserveEnds time.Time
 	// Probe is the task that probes the endpoint.
@@ -184,7 +186,7 @@
 	if n.Probing() && (j.Gang() || !j.Repeatable()) {
 		return false
 	}
-	if n.Reserved == nil || n.Reserved == j || j.Queue.Tier < n.Reserved.Queue.Tier {
+	if n.Reserved == nil || n.Reserved == j || j.Queue.Key.Tier < n.ReservedTier {
 		return true
 	}
 	return !w.Ends.After(n.ReservedUntil)
--- a/policy/work/queue.go
+++ b/policy/work/queue.go
@@ -111,8 +111,8 @@
 
 // Key orders queues; the least is served first.
 type Key struct {
-	// Tier is the tier; a team that uses its whole share in a tier is served
-	// in the last one.
+	// Tier is the tier; a team that uses its whole share in this tier and the
+	// ones before it is served in the last one.
 	Tier int
 	// Ratio is the team's use by its share.
 	Ratio float64
@@ -135,7 +135,11 @@
 	if q.First != nil {
 		key.Accepted = q.First.Request.Accepted
 	}
-	if q.Team.InTier[q.Tier].DominantShare(total) >= q.Team.Account.Entitled() {
+	var used model.Resources
+	for tier := range q.Tier + 1 {
+		used = used.Add(q.Team.InTier[tier])
+	}
+	if used.DominantShare(total) >= q.Team.Account.Entitled() {
 		key.Tier = Tiers - 1
 	}
 	return key
@@ -150,6 +154,9 @@
 	if a.Ratio != b.Ratio {
 		return a.Ratio < b.Ratio
 	}
+	if q.Tier != other.Tier {
+		return q.Tier < other.Tier
+	}
 	if !a.Accepted.Equal(b.Accepted) {
 		return a.Accepted.Before(b.Accepted)
 	}
