Keep the learned size of right declarations exact

The buckets of learned ratios did not end at 1, so that a right declaration was learned as 1.198 times too small; where a task's peak follows its committed size, sizes grew until each filled an endpoint. The benchmark showed it: 48 running tasks on 48 endpoints in place of 528. Buckets now end at 1.

--- a/policy/estimate/ratio.go
+++ b/policy/estimate/ratio.go
@@ -5,11 +5,14 @@
 
 import "math"
 
-// The histogram of Ratio: bucket i holds ratios up to firstBound*step^i.
+// The histogram of Ratio: bucket i holds ratios up to step^(i-exact), so that a
+// declaration that is right falls on a bound.
 const (
-	buckets    = 40
-	firstBound = 1.0 / 32
-	step       = 1.2
+	buckets = 40
+	exact   = 20
+	step    = 1.2
+	// rounding keeps a ratio on a bound in the bucket below it.
+	rounding = 1e-9
 )
 
 // The bounds of what a Ratio keeps and when it says something.
@@ -71,19 +74,18 @@
 
 func newBounds() [buckets]float64 {
 	var all [buckets]float64
-	bound := firstBound
 	for i := range all {
-		all[i] = bound
-		bound *= step
+		all[i] = math.Pow(step, float64(i-exact))
 	}
 	return all
 }
 
 // bucket returns the bucket of a ratio; the outer ones take what is beyond.
 func bucket(ratio float64) int {
-	if ratio <= firstBound {
+	if ratio <= bounds[0] {
 		return 0
 	}
-	i := int(math.Ceil(math.Log(ratio/firstBound) / math.Log(step)))
-	return min(max(i, 0), buckets-1)
+	steps := math.Log(ratio) / math.Log(step)
+	i := int(math.Ceil(steps-rounding)) + exact
+	return min(i, buckets-1)
 }
