Send the starts on record before a hand-over, and withdraw those that did not happen

Cause: a draining scheduler handed its shard over while starts whose intent was on record waited to be sent; the successor had to answer unknown. Change: it waits until they are sent and answered for, within the drain's bound. A take-over does not wait for endpoints that the instance list has left out for 10 s.

--- a/journal/entry.go
+++ b/journal/entry.go
@@ -18,6 +18,9 @@
 	Accepted *model.Request `json:"accepted,omitempty"`
 	// Intent precedes the start of a task that runs at most once.
 	Intent *Intent `json:"intent,omitempty"`
+	// Withdrawn is an attempt whose intent is on record and that did not and
+	// will not run.
+	Withdrawn *model.AttemptID `json:"withdrawn,omitempty"`
 	// Done is a task that has succeeded.
 	Done *Done `json:"done,omitempty"`
 	// Answered is a request that has its answer.
--- a/journal/image.go
+++ b/journal/image.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/model"
@@ -38,6 +39,9 @@
 	if e.Intent != nil {
 		im.intend(*e.Intent)
 	}
+	if e.Withdrawn != nil {
+		im.withdraw(*e.Withdrawn)
+	}
 	if e.Done != nil {
 		im.finish(*e.Done)
 	}
@@ -70,6 +74,12 @@
 	}
 }
 
+func (im *Image) withdraw(attempt model.AttemptID) {
+	if r := im.Records[attempt.Task.Request]; r != nil {
+		r.Intents = slices.DeleteFunc(r.Intents, func(i Intent) bool { return i.Attempt == attempt })
+	}
+}
+
 func (im *Image) finish(done Done) {
 	if r := im.Records[done.Request]; r != nil {
 		r.Parts = append(r.Parts, done.Part)
@@ -94,6 +104,7 @@
 	fresh := &Image{Records: make(map[model.RequestID]*Record, len(im.Records)), Members: im.Members}
 	for id, r := range im.Records {
 		record := *r
+		record.Intents = slices.Clone(r.Intents)
 		fresh.Records[id] = &record
 	}
 	return fresh
--- a/journal/writer_test.go
+++ b/journal/writer_test.go
@@ -207,6 +207,15 @@
 		Expect(image.Members).To(Equal(members.Endpoints))
 	})
 
+	It("keeps no intent of a start that was withdrawn", func() {
+		w, _, epoch := b.open("one")
+		attempt := model.AttemptID{Task: model.TaskID{Request: name(0)}, Number: 1}
+		w.Handle(append(accept(epoch, 0, 1),
+			journal.Append{Epoch: epoch, Entry: journal.Entry{Intent: &journal.Intent{Attempt: attempt, Endpoint: "a1"}}},
+			journal.Append{Epoch: epoch, Entry: journal.Entry{Withdrawn: &attempt}}))
+		Expect(b.replay().Records[name(0)].Intents).To(BeEmpty())
+	})
+
 	It("forgets answers after their retention", func() {
 		w, _, epoch := b.open("one")
 		w.Handle(accept(epoch, 0, 2))
--- a/sched/drain_test.go
+++ b/sched/drain_test.go
@@ -53,6 +53,32 @@
 		w.audit(c)
 	})
 
+	It("sends the starts whose intent is on record before it hands over", func() {
+		w, c := newWorld(8), &callers{}
+		settings := testSettings()
+		settings.SyncWorkers = 1
+		first := w.startWith(settings, w.table.Client(), w.fleet.Client())
+		first.submit(request("first", "batch", time.Millisecond))
+		var sent []peer.SubmitRequest
+		var told []<-chan model.Answer
+		for i := range 60 {
+			r := request(fmt.Sprint("k", i), "batch", 100*time.Millisecond)
+			sent, told = append(sent, r), append(told, first.submitLater(r))
+		}
+		second := w.start()
+		Eventually(func() int { return w.journalled("intent") }).WithTimeout(deadline).ShouldNot(BeZero())
+		first.drained()
+		first.stop()
+		for i, r := range sent {
+			Eventually(told[i]).WithTimeout(deadline).Should(Receive())
+			second.submit(r)
+			answer := second.answer(r)
+			Expect(answer.Code).To(Equal(code(result.OK)), "%s: %s", r.Key, answer.Reason)
+			c.note(r, answer)
+		}
+		w.audit(c)
+	})
+
 	It("ends within its bound when there is no successor and the store is down", func() {
 		w := newWorld(1)
 		l := w.link()
--- a/sched/onrecord.go
+++ b/sched/onrecord.go
@@ -23,6 +23,8 @@
 	intentDurable struct{ attempt *attempt }
 	// partDurable follows the success of one of several tasks.
 	partDurable struct{ settled settledAttempt }
+	// nothing follows an entry that only a successor reads.
+	nothing struct{}
 	// membersDurable follows a change of the shard's endpoints.
 	membersDurable struct{}
 )
@@ -33,6 +35,8 @@
 
 func (c partDurable) follow(s *Shard) { s.acknowledge(c.settled) }
 
+func (nothing) follow(*Shard) {}
+
 func (membersDurable) follow(s *Shard) {
 	s.members, s.proposed = s.proposed, nil
 	s.proof.SetMembers(ids(s.members), nil)
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -118,6 +118,7 @@
 // reject says that the attempt has not run.
 func (s *Shard) reject(a *attempt) {
 	s.drop(a)
+	s.recordWithdrawal(a)
 	if session := s.sessions[a.start.Endpoint]; session != nil {
 		session.reportAt = s.now
 	}
@@ -125,6 +126,14 @@
 	s.dirty = true
 }
 
+// recordWithdrawal tells a successor that the intended start did not happen, so
+// that it need not answer "unknown".
+func (s *Shard) recordWithdrawal(a *attempt) {
+	if a.record.request.Spec.NotRepeatable && a.record.answer == nil {
+		s.append(journal.Entry{Withdrawn: &a.start.Attempt}, nothing{})
+	}
+}
+
 // drop forgets an attempt whose fate is known.
 func (s *Shard) drop(a *attempt) {
 	if session := s.sessions[a.start.Endpoint]; session != nil {
--- a/sched/session.go
+++ b/sched/session.go
@@ -31,10 +31,13 @@
 	// fenced says that the endpoint has accepted the epoch.
 	fenced bool
 	// onList says that the instance list names the endpoint.
-	onList   bool
-	inflight bool
-	due      time.Time
-	failures int
+	onList bool
+	// absentSince is when the list was first seen without the endpoint; zero
+	// while it is on the list.
+	absentSince time.Time
+	inflight    bool
+	due         time.Time
+	failures    int
 	// leasesUntil is when the leases of all tasks there end at the latest.
 	leasesUntil time.Time
 	// adoption is the reply to the first Sync under this epoch; last is the
@@ -163,6 +166,22 @@
 	}
 }
 
+// noteAbsence notes since when the instance list leaves the endpoint out.
+func (se *session) noteAbsence() {
+	if se.onList || !se.shard.listKnown {
+		se.absentSince = time.Time{}
+		return
+	}
+	if se.absentSince.IsZero() {
+		se.absentSince = se.shard.now
+	}
+}
+
+// gone reports whether the platform has taken the endpoint's instance away.
+func (se *session) gone() bool {
+	return !se.absentSince.IsZero() && se.shard.now.Sub(se.absentSince) > absentGrace
+}
+
 // place lets the scheduler use the endpoint once the shard's record names it.
 func (se *session) place() {
 	s := se.shard
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -37,19 +37,28 @@
 	}
 }
 
-// advanceTakeover counts the endpoints that have accepted the epoch.
+// absentGrace is how long the instance list, which lags, must have left out an
+// endpoint before the endpoint counts as gone.
+const absentGrace = 10 * time.Second
+
+// advanceTakeover counts the endpoints that have accepted the epoch. Those that
+// are gone accept nothing, from the former holder neither.
 func (s *Shard) advanceTakeover() {
-	fenced := 0
+	fenced, needed := 0, 0
 	for _, m := range s.members {
-		if s.sessions[m.ID].fenced {
+		se := s.sessions[m.ID]
+		if se.fenced {
 			fenced++
 		}
+		if se.fenced || !se.gone() {
+			needed++
+		}
 	}
-	if fenced == len(s.members) {
+	if fenced == needed {
 		s.fire(s.chart.allFenced)
 		return
 	}
-	if fenced > len(s.members)/2 {
+	if fenced > needed/2 {
 		s.fire(s.chart.majorityFenced)
 	}
 	if !s.waitUntil.IsZero() && s.now.After(s.waitUntil) {
@@ -64,7 +73,12 @@
 		return true
 	}
 	for _, se := range s.sessions {
-		if se.inflight {
+		if se.inflight || len(se.starts) > 0 {
+			return false
+		}
+	}
+	for _, a := range s.attempts {
+		if a.sent && !a.confirmed {
 			return false
 		}
 	}
@@ -260,6 +274,9 @@
 		se.onList = true
 		se.update(info)
 	}
+	for _, se := range s.sessions {
+		se.noteAbsence()
+	}
 	s.policy.SetFleet(s.fleetKnown())
 }
 
