Rescue old jobs, preempt beside reservations, add the tests of the parts

Now preemption and reservations are apart, a job that has waited for half of its window is passed by no tier on what is reserved for it, and there are five tiers.

--- a/policy/bench/table_test.go
+++ b/policy/bench/table_test.go
@@ -58,8 +58,8 @@
 		if !*printTable {
 			Skip("asked for with -table")
 		}
-		fmt.Println("| deployment | load | policy | class | wait p50 s | wait p99 s | late % | refused % | packing % | share error % | wasted % | out of memory |")
-		fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		fmt.Println("| deployment | load | policy | class | wait p50 s | wait p99 s | started % | late % | refused % | packing % | share error % | wasted % | out of memory |")
+		fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 		for _, d := range []*deployment{&consortium, &zarqa} {
 			for _, load := range []float64{0.7, 1, 1.4} {
 				printRows(d, load, "fifo", measure(d, newFIFO(d), d.arrivals(load, span, seed), span))
@@ -72,9 +72,9 @@
 func printRows(d *deployment, load float64, name string, m *measurement) {
 	for i, s := range d.streams {
 		c := m.classes[s.class.Name]
-		fmt.Printf("| %s | %.0f%% | %s | %s | %.2f | %.2f | %.1f | %.1f |", d.name, 100*load, name, s.class.Name,
+		fmt.Printf("| %s | %.0f%% | %s | %s | %.2f | %.2f | %.1f | %.1f | %.1f |", d.name, 100*load, name, s.class.Name,
 			float64(c.waits.ValueAtQuantile(50))/1000, float64(c.waits.ValueAtQuantile(99))/1000,
-			percent(c.late, c.accepted), percent(c.refused, c.accepted))
+			percent(int(c.waits.TotalCount()), c.accepted), percent(c.late, c.accepted), percent(c.refused, c.accepted))
 		if i > 0 {
 			fmt.Println(" | | | |")
 			continue
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -35,37 +35,37 @@
 	picker   work.Picker
 	placer   work.Placer
 
-	exhaustive bool
-	now        time.Time
-	jobs       map[model.RequestID]*work.Job
-	pool       []*work.Job
-	teams      map[model.TeamName]*work.Team
-	teamOrder  []*work.Team
-	queues     map[queueName]*work.Queue
-	queueOrder []*work.Queue
-	nodes      map[model.EndpointID]*work.Node
-	nodeOrder  []*work.Node
-	racks      map[rackName]*work.Rack
-	fleet      placement.Fleet
-	own        placement.Fleet
-	total      model.Resources
-	timers     work.Timers
-	changed    []*work.Node
-	halts      []policy.Halt
-	endings    []policy.Ending
-	want       work.Want
-	chosen     []*work.Node
-	sick       []*work.Node
-	refreshed  time.Time
-	reserved   []*work.Node
-	reviewed   time.Time
-	preempted  time.Time
-	slots      []slot
-	running    []*work.Task
-	cursor     int
-	victims    []*work.Task
-	found      []*work.Task
-	stats      Stats
+	exhaustive  bool
+	now         time.Time
+	jobs        map[model.RequestID]*work.Job
+	pool        []*work.Job
+	teams       map[model.TeamName]*work.Team
+	teamOrder   []*work.Team
+	queues      map[queueName]*work.Queue
+	queueOrder  []*work.Queue
+	nodes       map[model.EndpointID]*work.Node
+	nodeOrder   []*work.Node
+	racks       map[rackName]*work.Rack
+	fleet       placement.Fleet
+	own         placement.Fleet
+	total       model.Resources
+	timers      work.Timers
+	changed     []*work.Node
+	halts       []policy.Halt
+	endings     []policy.Ending
+	want        work.Want
+	chosen      []*work.Node
+	sick        []*work.Node
+	refreshed   time.Time
+	reserved    []*work.Node
+	reviewed    time.Time
+	preemptNext time.Time
+	slots       []slot
+	running     []*work.Task
+	cursor      int
+	victims     []*work.Task
+	found       []*work.Task
+	stats       Stats
 	// round counts the changes that make it worth trying blocked queues again.
 	round uint64
 	// smallest is at most the size of any queued task.
--- a/policy/cell/preempt.go
+++ b/policy/cell/preempt.go
@@ -19,6 +19,9 @@
 	reclaimCheckpoint = 10 * time.Second
 	// preemptPeriod is the least time between two preemptions.
 	preemptPeriod = 20 * time.Millisecond
+	// preemptRetry is the time until endpoints are looked at again after none
+	// was found.
+	preemptRetry = 100 * time.Millisecond
 	// preemptNodes is the most endpoints that are looked at for one job.
 	preemptNodes = 64
 	// preemptHold is how long the room of halted attempts is kept.
@@ -33,10 +36,10 @@
 // preempt halts attempts in favour of one job that has waited for long and
 // may: those of one endpoint that lose least.
 func (c *Cell) preempt() {
-	if c.now.Sub(c.preempted) < preemptPeriod {
+	if c.now.Before(c.preemptNext) {
 		return
 	}
-	c.preempted = c.now
+	c.preemptNext = c.now.Add(preemptPeriod)
 	q := c.firstEntitled()
 	if q == nil {
 		return
@@ -46,7 +49,7 @@
 	for range min(preemptNodes, len(c.nodeOrder)) {
 		c.cursor = (c.cursor + 1) % len(c.nodeOrder)
 		n := c.nodeOrder[c.cursor]
-		if !n.Open() || n.Reserved != nil || q.First.Head().Avoids(n.Info.ID) {
+		if !n.Open() || n.Reserved != nil && n.Reserved != q.First || q.First.Head().Avoids(n.Info.ID) {
 			continue
 		}
 		loss, found := c.findVictims(q, n)
@@ -56,9 +59,11 @@
 		}
 	}
 	if bestNode == nil {
+		c.preemptNext = c.now.Add(preemptRetry)
 		return
 	}
-	c.reserveNode(bestNode, q.First, c.now, c.now.Add(preemptHold))
+	q.First.PreemptUntil = c.now.Add(preemptHold)
+	c.reserveNode(bestNode, q.First, c.now, q.First.PreemptUntil)
 	for _, t := range c.found {
 		c.halt(t)
 	}
@@ -88,7 +93,7 @@
 	j := q.First
 	waited := c.now.Sub(j.Request.Accepted)
 	least := min(j.Class.MaxWait/preemptAfter, reclaimCheckpoint)
-	if waited < least || j.Gang() || j.Reserved > 0 {
+	if waited < least || j.Gang() || j.PreemptUntil.After(c.now) {
 		return false
 	}
 	outranks := mayOutrank(q) && waited >= j.Class.MaxWait/preemptAfter
--- a/policy/cell/reserve.go
+++ b/policy/cell/reserve.go
@@ -14,7 +14,10 @@
 const (
 	// reservePeriod is how often the reservation for the first job that can't
 	// start is worked out anew.
-	reservePeriod = time.Second
+	reservePeriod = 4 * time.Second
+	// rescueAfter divides the window: a job that has waited for this part of it
+	// is passed by no other on what is reserved for it.
+	rescueAfter = 2
 	// reserveJobs is the most jobs that are reserved for at a time.
 	reserveJobs = 1
 	// reserveAfter divides the longest wait: a job that has waited for this
@@ -80,7 +83,7 @@
 		if c.now.Sub(q.First.Request.Accepted) < reserveWait(q) {
 			continue
 		}
-		if first == nil || q.Before(first) {
+		if first == nil || c.reservedBefore(q, first) {
 			first = q
 		}
 	}
@@ -90,6 +93,25 @@
 	return first.First
 }
 
+// reservedBefore reports whether q is reserved for before other: the oldest
+// job that is to be rescued goes first.
+func (c *Cell) reservedBefore(q, other *work.Queue) bool {
+	rescue := c.rescued(q.First)
+	if rescue != c.rescued(other.First) {
+		return rescue
+	}
+	if rescue {
+		return q.First.Request.Deadline.Before(other.First.Request.Deadline)
+	}
+	return q.Before(other)
+}
+
+// rescued reports whether the job has waited for so much of its window that
+// nothing may pass it on what is reserved for it.
+func (c *Cell) rescued(j *work.Job) bool {
+	return c.now.Sub(j.Request.Accepted) >= j.Class.Window/rescueAfter
+}
+
 // reserveWait is how long the oldest job of the queue waits before it is
 // reserved for: less when its team is below its share.
 func reserveWait(q *work.Queue) time.Duration {
@@ -137,12 +159,10 @@
 
 // ends is when a live attempt is expected to end.
 func (c *Cell) ends(t *work.Task) time.Time {
-	duration := c.duration(t.Job)
-	end := t.Started.Add(duration)
-	if end.After(c.now) {
-		return end
+	if t.Ends.After(c.now) {
+		return t.Ends
 	}
-	return c.now.Add(duration / overrun)
+	return c.now.Add(t.Ends.Sub(t.Started) / overrun)
 }
 
 // reserveNode keeps the endpoint for the job.
@@ -153,6 +173,9 @@
 	}
 	n.Reserved, n.ReservedUntil, n.ReserveEnds = j, start, lapses
 	n.ReservedTier = j.Queue.Key.Tier
+	if c.rescued(j) {
+		n.ReservedTier = 0
+	}
 }
 
 // reviewReservations gives up the reservations that have lapsed.
--- a/policy/cell/start.go
+++ b/policy/cell/start.go
@@ -107,6 +107,7 @@
 // place starts the task on the endpoint.
 func (c *Cell) place(t *work.Task, n *work.Node, size model.Resources, plan *policy.Plan) {
 	t.Node, t.Size, t.Started = n, size, c.now
+	t.Ends = c.want.Ends
 	t.Number++
 	t.Throttled, t.Outgrown = false, 0
 	t.Fire(work.Place)
--- a/policy/cell/submit.go
+++ b/policy/cell/submit.go
@@ -168,6 +168,7 @@
 	}
 	j.Ran = true
 	t.Node, t.Size, t.Started = n, start.Size, c.now
+	t.Ends = c.now.Add(c.duration(j))
 	t.Fire(work.Adopt)
 }
 
--- a/policy/naive/world_test.go
+++ b/policy/naive/world_test.go
@@ -26,6 +26,7 @@
 // world is a scheduler with the effects of its plans.
 type world struct {
 	scheduler policy.Scheduler
+	config    *model.Config
 	now       time.Time
 	plan      policy.Plan
 	starts    []policy.Start
@@ -66,6 +67,7 @@
 func newWorld(scheduler policy.Scheduler, endpoints int) *world {
 	w := &world{scheduler: scheduler, now: epoch, endings: map[model.RequestID]policy.Ending{}}
 	config := worldConfig()
+	w.config = config
 	scheduler.SetConfig(w.now, config)
 	var infos []model.EndpointInfo
 	for i := range endpoints {
@@ -82,7 +84,7 @@
 // request makes a request of the team in the class.
 func (w *world) request(team model.TeamName, class model.ClassName, spec model.Spec) *model.Request {
 	w.made++
-	found, _ := worldConfig().Class(class)
+	found, _ := w.config.Class(class)
 	spec.Class = class
 	spec.Tasks = max(spec.Tasks, 1)
 	if spec.Size.IsZero() {
--- /dev/null
+++ b/policy/quarantine/health_test.go
@@ -0,0 +1,48 @@
+package quarantine_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/policy/quarantine"
+)
+
+func observe(h *quarantine.Health, count int, failed, sameRequest bool, expected float64) {
+	for i := range count {
+		request := model.RequestID("same")
+		if !sameRequest {
+			request = model.RequestID(fmt.Sprint("r", i))
+		}
+		h.Observe(failed, quarantine.End{Request: request, Team: "a", Expected: expected})
+	}
+}
+
+var _ = Describe("Health", func() {
+	DescribeTable("blames the endpoint only for what succeeds elsewhere",
+		func(failed, sameRequest bool, expected float64, suspect bool) {
+			var h quarantine.Health
+			observe(&h, 8, failed, sameRequest, expected)
+			Expect(h.Suspect()).To(Equal(suspect))
+		},
+		Entry("work that usually succeeds fails here", true, false, 0.0, true),
+		Entry("one request fails again and again", true, true, 0.0, false),
+		Entry("work that fails everywhere fails here", true, false, 0.9, false),
+		Entry("work succeeds", false, false, 0.0, false),
+	)
+
+	It("compares with the fleet", func() {
+		var h quarantine.Health
+		observe(&h, 8, true, false, 0)
+		Expect(h.Sick(0.05)).To(BeTrue())
+		Expect(h.Sick(0.6)).To(BeFalse())
+	})
+
+	It("bounds the part of the fleet in quarantine", func() {
+		Expect(quarantine.Allowed(0, 2)).To(BeTrue())
+		Expect(quarantine.Allowed(1, 9)).To(BeFalse())
+		Expect(quarantine.Allowed(1, 10)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/policy/quota/account_test.go
@@ -0,0 +1,41 @@
+package quota_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/policy/quota"
+)
+
+var _ = Describe("Account", func() {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+	It("serves the team first that uses less of its share", func() {
+		var small, large quota.Account
+		small.Entitle(0.1)
+		large.Entitle(0.5)
+		small.Use(0.2)
+		large.Use(0.3)
+		Expect(large.Ratio()).To(BeNumerically("<", small.Ratio()))
+	})
+
+	It("forgets half of past use in a half-life", func() {
+		var a quota.Account
+		a.Entitle(1)
+		a.Use(1)
+		a.Decay(start, time.Minute)
+		a.Decay(start.Add(time.Hour), time.Minute)
+		a.Use(0)
+		past := a.Ratio()
+		a.Decay(start.Add(time.Hour+time.Minute), time.Minute)
+		Expect(a.Ratio()).To(BeNumerically("~", past/2, 1e-6))
+	})
+
+	It("keeps a team without a share in the order", func() {
+		var a quota.Account
+		a.Use(0.5)
+		Expect(a.Ratio()).To(BeNumerically(">", 100))
+	})
+})
--- a/policy/work/job.go
+++ b/policy/work/job.go
@@ -79,6 +79,8 @@
 	Sized uint64
 	// Reserved is the number of endpoints that are kept for the job.
 	Reserved int
+	// PreemptUntil is until when attempts halted for the job are waited for.
+	PreemptUntil time.Time
 	// Served says that a service has had all its tasks running.
 	Served bool
 
--- a/policy/work/queue.go
+++ b/policy/work/queue.go
@@ -9,13 +9,14 @@
 )
 
 // Tiers is the number of tiers that classes fall into by their longest wait.
-const Tiers = 4
+const Tiers = 5
 
 // The longest waits of the tiers but the last.
 const (
-	urgentWait = 10 * time.Second
-	promptWait = 2 * time.Minute
-	normalWait = time.Hour
+	urgentWait  = 10 * time.Second
+	promptWait  = 2 * time.Minute
+	normalWait  = 20 * time.Minute
+	patientWait = 2 * time.Hour
 )
 
 // Tier returns the tier of a longest wait; tier 0 is served first.
@@ -27,6 +28,8 @@
 		return 1
 	case maxWait <= normalWait:
 		return 2
+	case maxWait <= patientWait:
+		return 3
 	}
 	return Tiers - 1
 }
--- a/policy/work/task.go
+++ b/policy/work/task.go
@@ -36,6 +36,8 @@
 	Outgrown int
 	// Started is when the live attempt was placed.
 	Started time.Time
+	// Ends is when the live attempt is expected to end.
+	Ends time.Time
 	// Due is the end of the backoff.
 	Due time.Time
 	// Treatment is how a halt is to be carried out.
