Draw configurations and adoptions in the differential test

The differential test left out changes of the configuration and adoption. It now draws racks and endpoints taken out, shares and limits, and adopted requests, and its ledger checks them. An unchanged endpoint costs nothing in SetEndpoint, and a change of the configuration sums the capacity up once, not once for each endpoint.

go test ./policy/naive -run Differential -rapid.checks=3000: passed.

--- a/policy/cell/config.go
+++ b/policy/cell/config.go
@@ -32,7 +32,7 @@
 	}
 	c.prune()
 	c.estimates++
-	c.renewOrder()
+	c.sum()
 	c.unblockAll()
 }
 
--- a/policy/cell/endpoints.go
+++ b/policy/cell/endpoints.go
@@ -17,6 +17,9 @@
 	c.now = now
 	n := c.nodes[info.ID]
 	added := n == nil
+	if !added && n.Info == info {
+		return
+	}
 	if added {
 		n = work.NewNode(info, c.rack(info), c.settings.ProbeAfter)
 		n.Reachable = true
@@ -29,6 +32,7 @@
 		c.rebuild()
 	}
 	c.reviewNode(n)
+	c.sum()
 }
 
 func (c *Cell) rack(info model.EndpointInfo) *work.Rack {
@@ -107,7 +111,6 @@
 	n.Out = c.out(n.Info)
 	n.Fire(work.Review)
 	c.scheduleProbe(n)
-	c.sum()
 	c.gained(n)
 }
 
--- a/policy/naive/differential_test.go
+++ b/policy/naive/differential_test.go
@@ -219,6 +219,61 @@
 	})
 }
 
+// configure takes an endpoint or a rack out of service, or brings all back,
+// and changes a share and a limit.
+func (p *pair) configure(t *rapid.T) {
+	info := p.drawNode(t)
+	config := *worldConfig()
+	config.Version = p.config.Version + 1
+	if rapid.Bool().Draw(t, "rack") {
+		config.RacksOut = []model.RackRef{{Domain: info.Domain, Rack: info.Rack}}
+	}
+	if rapid.Bool().Draw(t, "out") {
+		config.EndpointsOut = []model.EndpointID{info.ID}
+	}
+	team := rapid.IntRange(0, len(config.Teams)-1).Draw(t, "changed")
+	config.Teams[team].Share = int64(rapid.IntRange(0, 1000).Draw(t, "share"))
+	config.Teams[team].Limit[model.CPU] = int64(rapid.IntRange(1, 200).Draw(t, "limit")) * 1000
+	p.config = config
+	p.ledger.out = map[model.EndpointID]bool{}
+	for i := range p.nodes {
+		known := worldEndpoint(i)
+		rackOut := len(config.RacksOut) > 0 && known.Rack == info.Rack
+		p.ledger.out[known.ID] = rackOut || len(config.EndpointsOut) > 0 && known.ID == info.ID
+	}
+	for _, changed := range config.Teams {
+		p.ledger.limit[changed.Name] = changed.Limit
+	}
+	p.each(func(s policy.Scheduler) { s.SetConfig(p.now, &config) })
+}
+
+// adopt hands over a request with one task done and one running.
+func (p *pair) adopt(t *rapid.T) {
+	p.made++
+	info := p.drawNode(t)
+	request := &model.Request{
+		ID: model.RequestID(fmt.Sprintf("0-%d-west", p.made)), Team: p.drawTeam(t),
+		Spec:     model.Spec{Class: "batch", Kind: model.Batch, Tasks: 3, Size: smallSize, Estimate: time.Minute},
+		Accepted: p.now.Add(-time.Minute), Deadline: p.now.Add(time.Hour),
+	}
+	running := policy.Start{
+		Attempt:  model.AttemptID{Task: model.TaskID{Request: request.ID, Index: 1}, Number: 3},
+		Endpoint: info.ID, Size: smallSize, Request: request,
+	}
+	if !p.ledger.byNode[info.ID].Add(smallSize).Fits(worldCapacity) {
+		return
+	}
+	p.ledger.requests[request.ID] = request
+	p.ledger.adopt(running)
+	p.order = append(p.order, request.ID)
+	p.each(func(s policy.Scheduler) {
+		s.Adopt(p.now, policy.Adoption{
+			Request: request, Running: []policy.Start{running}, Done: []int{0},
+			Started: []model.AttemptID{running.Attempt},
+		})
+	})
+}
+
 func (p *pair) setPart(t *rapid.T) {
 	team := p.drawTeam(t)
 	part := model.Resources{
@@ -239,7 +294,7 @@
 		p := newPair(t)
 		steps := []func(*rapid.T){
 			p.submit, p.submit, p.submit, p.finish, p.finish, p.confirm, p.cancel,
-			p.reject, p.report, p.change, p.setPart, p.advance, p.advance,
+			p.reject, p.report, p.change, p.configure, p.adopt, p.setPart, p.advance, p.advance,
 		}
 		for range rapid.IntRange(10, 150).Draw(t, "steps") {
 			rapid.SampledFrom(steps).Draw(t, "step")(t)
--- a/policy/naive/ledger_test.go
+++ b/policy/naive/ledger_test.go
@@ -14,7 +14,9 @@
 	byNode   map[model.EndpointID]model.Resources
 	byTeam   map[model.TeamName]model.Resources
 	part     map[model.TeamName]model.Resources
+	limit    map[model.TeamName]model.Resources
 	closed   map[model.EndpointID]bool
+	out      map[model.EndpointID]bool
 	failed   map[model.TaskID][]model.EndpointID
 	started  map[model.TaskID]int
 	ended    map[model.RequestID]bool
@@ -27,7 +29,9 @@
 		byNode:   map[model.EndpointID]model.Resources{},
 		byTeam:   map[model.TeamName]model.Resources{},
 		part:     map[model.TeamName]model.Resources{},
+		limit:    map[model.TeamName]model.Resources{},
 		closed:   map[model.EndpointID]bool{},
+		out:      map[model.EndpointID]bool{},
 		failed:   map[model.TaskID][]model.EndpointID{},
 		started:  map[model.TaskID]int{},
 		ended:    map[model.RequestID]bool{},
@@ -90,7 +94,7 @@
 			t.Fatalf("task %s runs in two places", task)
 		}
 	}
-	if l.closed[start.Endpoint] {
+	if l.closed[start.Endpoint] || l.out[start.Endpoint] {
 		t.Fatalf("attempt %s is started on the closed endpoint %s", start.Attempt, start.Endpoint)
 	}
 	for _, failed := range l.failed[task] {
@@ -103,17 +107,24 @@
 		t.Fatalf("task %s may not be repeated and is", task)
 	}
 	l.started[task] = start.Attempt.Number
-	l.live[start.Attempt] = start
-	l.byNode[start.Endpoint] = l.byNode[start.Endpoint].Add(start.Size)
-	l.byTeam[request.Team] = l.byTeam[request.Team].Add(start.Size)
+	l.adopt(start)
 	if !l.byNode[start.Endpoint].Fits(worldCapacity) {
 		t.Fatalf("endpoint %s is committed to %v", start.Endpoint, l.byNode[start.Endpoint])
 	}
-	if part, set := l.part[request.Team]; set && !l.byTeam[request.Team].Fits(part) {
-		t.Fatalf("team %s runs %v with a part of %v", request.Team, l.byTeam[request.Team], part)
+	for _, most := range []map[model.TeamName]model.Resources{l.part, l.limit} {
+		if bound, set := most[request.Team]; set && !l.byTeam[request.Team].Fits(bound) {
+			t.Fatalf("team %s runs %v, allowed %v", request.Team, l.byTeam[request.Team], bound)
+		}
 	}
 }
 
+// adopt counts a live attempt.
+func (l *ledger) adopt(start policy.Start) {
+	l.live[start.Attempt] = start
+	l.byNode[start.Endpoint] = l.byNode[start.Endpoint].Add(start.Size)
+	l.byTeam[start.Request.Team] = l.byTeam[start.Request.Team].Add(start.Size)
+}
+
 // end takes a live attempt out.
 func (l *ledger) end(start policy.Start, outcome model.Outcome, rejected bool) {
 	delete(l.live, start.Attempt)
