--- a/escrow/escrow.go
+++ b/escrow/escrow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -210,9 +209,9 @@
 // commit writes the ledger. After an unknown outcome the written ledger is in
 // doubt until the row has another version.
 func (e *Escrow) commit(next Ledger) error {
-	raw, err := json.Marshal(next)
+	raw, err := Encode(&next)
 	if err != nil {
-		return eris.Wrap(err, "encoding the ledger")
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
 	defer cancel()
--- a/escrow/fuzz_test.go
+++ b/escrow/fuzz_test.go
@@ -1,6 +1,8 @@
 package escrow_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"testing"
 
 	"github.com/hornbeamworks/hornbeam/escrow"
@@ -14,10 +16,19 @@
 	f.Add([]byte(`{}`))
 	f.Add([]byte(`[1]`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		ledger, err := escrow.Decode(raw)
+		// What is not packed must not make the decoder fail otherwise.
+		_, _ = escrow.Decode(raw)
+		ledger, err := escrow.Decode(pack(raw))
 		if err != nil {
 			return
 		}
+		again, err := escrow.Encode(&ledger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if other, err := escrow.Decode(again); err != nil || len(other.Accounts) != len(ledger.Accounts) {
+			t.Fatalf("%s does not decode again: %v", raw, err)
+		}
 		for _, account := range ledger.Accounts {
 			if _, ok := ledger.Account(account.Team); !ok {
 				t.Fatalf("team %q is lost", account.Team)
@@ -29,3 +40,12 @@
 		}
 	})
 }
+
+// pack returns the bytes under gzip.
+func pack(raw []byte) []byte {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	_, _ = w.Write(raw)
+	_ = w.Close()
+	return packed.Bytes()
+}
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -10,9 +10,12 @@
 package escrow
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"slices"
 	"strings"
 
@@ -31,6 +34,9 @@
 	StampKey = "escrow/stamp"
 )
 
+// maxLedgerBytes bounds a ledger before it is packed.
+const maxLedgerBytes = 16 << 20
+
 // ErrMalformed means that the ledger's row does not hold a ledger.
 var ErrMalformed = eris.New("malformed ledger")
 
@@ -76,11 +82,29 @@
 	return ledger, row.Version, err
 }
 
-// Decode reads a ledger as it stands in the table. It returns ErrMalformed for
-// anything else.
+// Encode returns the ledger as it stands in the table: JSON under gzip, since
+// every holder reads it again after each write and its numbers repeat.
+func Encode(ledger *Ledger) ([]byte, error) {
+	var raw bytes.Buffer
+	packed := gzip.NewWriter(&raw)
+	if err := json.NewEncoder(packed).Encode(ledger); err != nil {
+		return nil, eris.Wrap(err, "encoding the ledger")
+	}
+	if err := packed.Close(); err != nil {
+		return nil, eris.Wrap(err, "packing the ledger")
+	}
+	return raw.Bytes(), nil
+}
+
+// Decode is the opposite of Encode. It returns ErrMalformed for anything else,
+// and for a ledger of more than maxLedgerBytes.
 func Decode(raw []byte) (Ledger, error) {
+	packed, err := gzip.NewReader(bytes.NewReader(raw))
+	if err != nil {
+		return Ledger{}, eris.Wrapf(ErrMalformed, "%v", err)
+	}
 	var ledger Ledger
-	if err := json.Unmarshal(raw, &ledger); err != nil {
+	if err := json.NewDecoder(io.LimitReader(packed, maxLedgerBytes)).Decode(&ledger); err != nil {
 		return Ledger{}, eris.Wrapf(ErrMalformed, "%v", err)
 	}
 	return ledger, nil
