Log each change's end and each member's change of state

Operators' changes go into the log with author, item, summary and result, never a secret or a hash; a member that is suspected, dead, left or back is one line.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -77,7 +77,7 @@
 	p.admission = gate.NewAdmission(s.bounds(), system, p.keeper.View())
 	p.front = gate.New(s.bounds(), system, p.admission, routing.NewCaller(p.router, peers, system), log)
 	p.writer = config.NewWriter(config.WriterOptions{
-		Table: p.table, Clock: system, Keeper: p.keeper, Usage: operate.LedgerUsage(p.table),
+		Table: p.table, Clock: system, Keeper: p.keeper, Usage: operate.LedgerUsage(p.table), Log: log,
 	})
 	p.desk = operate.New(operate.Options{
 		View: p.keeper.View(), Writer: p.writer, Table: p.table, Members: p.memberList, Clock: system,
@@ -97,7 +97,7 @@
 			Instance: model.InstanceID(uuid.NewString()), Role: membership.Gate,
 			Domain: model.DomainName(s.Peers.Domain), Address: s.Peers.Listen,
 		},
-		Seeds: s.seeds(), Keeper: p.keeper, Clock: clock.System{}, Caller: p.peers,
+		Seeds: s.seeds(), Keeper: p.keeper, Clock: clock.System{}, Caller: p.peers, Log: p.log,
 	})
 	return directory{members: p.members.Directory(), settings: s.addresses()}
 }
--- a/cmd/hornbeam-sched/serve.go
+++ b/cmd/hornbeam-sched/serve.go
@@ -95,6 +95,7 @@
 		Keeper: keeper,
 		Clock:  system,
 		Caller: peers,
+		Log:    log,
 	})
 	p.announce = sched.NewAnnouncer(p.members.SetShards)
 	p.outside.Announce = p.announce.Announce
--- a/config/writer.go
+++ b/config/writer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/result"
@@ -41,6 +43,8 @@
 	Clock clock.Clock
 	// Keeper is asked to read the table after an accepted change; it may be nil.
 	Keeper *Keeper
+	// Log gets one line for each change; nil for none.
+	Log *logging.Logger
 	// Timeout bounds a change from its turn to its outcome; 0 means 5 seconds.
 	Timeout time.Duration
 	// Usage returns what the teams have running; nil when nobody knows.
@@ -65,6 +69,9 @@
 	if options.Timeout == 0 {
 		options.Timeout = defaultTimeout
 	}
+	if options.Log == nil {
+		options.Log = logging.Discard()
+	}
 	w := &Writer{options: options}
 	w.duty = duty.New("config-write", writerRing, duty.HandlerFunc[order](w.handle))
 	return w
@@ -85,6 +92,7 @@
 		a := &attempt{writer: w, ctx: ctx, change: o.change}
 		outcome := a.run()
 		cancel()
+		w.log(o.change, outcome)
 		if outcome.Code == result.OK && w.options.Keeper != nil {
 			w.options.Keeper.ReadNow()
 		}
@@ -93,6 +101,15 @@
 	return duty.Never
 }
 
+// log writes who changed what and what became of it. Neither item nor summary
+// holds a secret.
+func (w *Writer) log(change Change, outcome Outcome) {
+	w.options.Log.Info("change_ended",
+		slog.String("change", change.ID), slog.String("author", change.Author),
+		slog.String("item", change.Edit.Item()), slog.String("summary", change.Edit.Summary()),
+		slog.String("result", outcome.Code.String()), slog.Uint64("version", uint64(outcome.Version)))
+}
+
 // checkUse refuses limits that were lowered below what runs.
 func (w *Writer) checkUse(ctx context.Context, before, next *model.Config) error {
 	if w.options.Usage == nil {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,11 +1,13 @@
 package membership
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 )
 
@@ -46,6 +48,8 @@
 	Clock clock.Clock
 	// Caller calls peers.
 	Caller Caller
+	// Log gets a line for each member that changes its state; nil for none.
+	Log *logging.Logger
 }
 
 // Membership is the duties that know the other processes.
@@ -59,7 +63,10 @@
 	send func(job) bool
 
 	// The fields below belong to the membership duty.
-	roster   *roster
+	roster *roster
+	log    *logging.Logger
+	// logged are the states of the members as they were logged last.
+	logged   map[model.InstanceID]State
 	seeds    []string
 	nextSeed int
 	// heartbeatAt is when the next round is due, reconnectAt when the next
@@ -85,9 +92,14 @@
 		clock:     o.Clock,
 		directory: newDirectory(),
 		roster:    newRoster(o.Self),
+		log:       o.Log,
+		logged:    map[model.InstanceID]State{},
 		seeds:     o.Seeds,
 	}
 	m.duty = duty.New("membership", dutyRing, duty.HandlerFunc[message](m.handle))
+	if m.log == nil {
+		m.log = logging.Discard()
+	}
 	m.send = m.sendToDuty
 	for range senderDuties {
 		m.senders = append(m.senders, newSender(o.Caller, o.Clock, m.duty.Put))
@@ -134,10 +146,28 @@
 	if m.roster.changed {
 		m.roster.changed = false
 		m.directory.show(m.roster)
+		m.logChanges()
 	}
 	return tick
 }
 
+// logChanges logs the members whose state is not the one logged last.
+func (m *Membership) logChanges() {
+	seen := make(map[model.InstanceID]State, len(m.logged))
+	for _, status := range m.directory.Members() {
+		id := status.Member.Instance
+		seen[id] = status.State
+		if m.logged[id] == status.State {
+			continue
+		}
+		m.log.Info("member_state",
+			slog.String("instance", string(id)), slog.String("role", string(status.Member.Role)),
+			slog.String("domain", string(status.Member.Domain)), slog.String("address", status.Member.Address),
+			slog.String("state", string(status.State)))
+	}
+	m.logged = seen
+}
+
 // noticePause keeps a pause of this process from being held against others.
 func (m *Membership) noticePause(now time.Time) {
 	if gap := now.Sub(m.lookedAt); !m.lookedAt.IsZero() && gap > pauseLimit {
