Move waiting requests out of a failure domain that is taken out

Cause: requests accepted by a failure domain wait there when operators take it out, until it comes back or their windows end, while other domains have room.

Change: the home shard records the move and asks the shard next in rank to run the request (Scheduler.Delegate, idempotent by request id); it stays the one that callers ask. The request chart has the states moving and elsewhere. Answers are now kept until the window has ended, too.

Starts in the tests: one, in the other domain, also with three lost replies and with the home replaced after the move.

Conclusion: a take-out no longer costs accepted work its window.

--- a/cmd/hornbeam-sched/serve.go
+++ b/cmd/hornbeam-sched/serve.go
@@ -99,6 +99,8 @@
 	})
 	p.announce = sched.NewAnnouncer(p.members.SetShards)
 	p.outside.Announce = p.announce.Announce
+	p.outside.Peers = peers
+	p.outside.Holder = p.holder
 	return p
 }
 
@@ -175,3 +177,9 @@
 	p.log.Info("sched_started",
 		slog.String("instance", string(p.instance)), slog.String("address", p.settings.Sched.Listen))
 }
+
+// holder returns the address of the shard's holder as the members have it.
+func (p *program) holder(id model.ShardID) (address string, ok bool) {
+	status, _, ok := p.members.Directory().Holder(id)
+	return status.Member.Address, ok
+}
--- a/journal/entry.go
+++ b/journal/entry.go
@@ -25,6 +25,8 @@
 	Done *Done `json:"done,omitempty"`
 	// Answered is a request that has its answer.
 	Answered *Answered `json:"answered,omitempty"`
+	// Moved is a request that another shard runs.
+	Moved *Moved `json:"moved,omitempty"`
 	// Members is the set of endpoints that the shard commands.
 	Members *Members `json:"members,omitempty"`
 }
@@ -53,6 +55,14 @@
 	At time.Time `json:"at"`
 }
 
+// Moved is a request that another shard runs and answers.
+type Moved struct {
+	// Request is the request.
+	Request model.RequestID `json:"request"`
+	// To is the shard that runs it.
+	To model.ShardID `json:"to"`
+}
+
 // Members is a set of endpoints.
 type Members struct {
 	// Endpoints are the endpoints in the order of their names.
--- a/journal/image.go
+++ b/journal/image.go
@@ -15,6 +15,8 @@
 	Intents []Intent `json:"intents,omitempty"`
 	// Parts are the answers of the tasks that have succeeded.
 	Parts []model.Part `json:"parts,omitempty"`
+	// Moved is the shard that runs the request, nil while it is this one.
+	Moved *model.ShardID `json:"moved,omitempty"`
 	// Answered is the answer, nil while there is none.
 	Answered *Answered `json:"answered,omitempty"`
 }
@@ -45,6 +47,9 @@
 	if e.Done != nil {
 		im.finish(*e.Done)
 	}
+	if e.Moved != nil {
+		im.move(*e.Moved)
+	}
 	if e.Answered != nil {
 		im.answer(e.Answered)
 	}
@@ -53,10 +58,12 @@
 	}
 }
 
-// Prune forgets the requests that were answered before the given time.
+// Prune forgets the requests that were answered before the given time and whose
+// windows had ended by then: until then a home may ask for the answer of a
+// request that it has moved here.
 func (im *Image) Prune(before time.Time) {
 	for id, r := range im.Records {
-		if r.Answered != nil && r.Answered.At.Before(before) {
+		if r.Answered != nil && r.Answered.At.Before(before) && r.Request.Deadline.Before(before) {
 			delete(im.Records, id)
 		}
 	}
@@ -80,6 +87,12 @@
 	}
 }
 
+func (im *Image) move(moved Moved) {
+	if r := im.Records[moved.Request]; r != nil {
+		r.Moved = &moved.To
+	}
+}
+
 func (im *Image) finish(done Done) {
 	if r := im.Records[done.Request]; r != nil {
 		r.Parts = append(r.Parts, done.Part)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -61,3 +61,35 @@
 	// Status answers a StatusRequest.
 	Status *ShardStatus
 }
+
+// DelegateRequest asks another shard to run requests and for their answers. It
+// is idempotent: a request that the shard knows is not taken a second time.
+type DelegateRequest struct {
+	// To is the shard that is asked.
+	To model.ShardID
+	// Items are the requests.
+	Items []DelegatedItem
+}
+
+// DelegatedItem is one request that another shard runs.
+type DelegatedItem struct {
+	// ID is the request's id; its home asks.
+	ID model.RequestID
+	// Request is the request, nil once the shard is known to have it.
+	Request *model.Request
+	// Cancel says that the caller has cancelled it.
+	Cancel bool
+}
+
+// DelegateReply is what the shard says.
+type DelegateReply struct {
+	// Served is false when the process does not hold the shard, or can't serve
+	// it yet; nothing was taken then.
+	Served bool
+	// Holder is the address of the process to ask instead, when it is known.
+	Holder string
+	// Answers are the answers to the items, in their order. The code is
+	// Pending while there is none, and UnknownRequest for an item without its
+	// request that the shard does not have.
+	Answers []model.Answer
+}
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,7 +35,7 @@
 	table   *standin.Table
 	objects *standin.ObjectStore
 	fleet   *standin.Fleet
-	config  *model.Config
+	config  atomic.Pointer[model.Config]
 	started int
 	// cleanup has functions called at the end, the last one first.
 	cleanup func(end func())
@@ -67,14 +68,24 @@
 
 // newWorldUntil has its end called by cleanup.
 func newWorldUntil(endpoints int, cleanup func(end func())) *world {
-	w := &world{ctx: context.Background(), config: testConfig(), cleanup: cleanup}
+	return newWorldOf(endpointsOf("a", endpoints), testConfig(), cleanup)
+}
+
+// endpointsOf returns n endpoints of the failure domain.
+func endpointsOf(domain model.DomainName, n int) []model.EndpointInfo {
 	var infos []model.EndpointInfo
-	for i := range endpoints {
+	for i := range n {
 		infos = append(infos, model.EndpointInfo{
-			ID: model.EndpointID(fmt.Sprintf("a%02d", i)), Domain: "a", Rack: "r",
+			ID: model.EndpointID(fmt.Sprintf("%s%02d", domain, i)), Domain: domain, Rack: "r",
 			Capacity: model.Resources{16000, 65536, 0, 8, 64},
 		})
 	}
+	return infos
+}
+
+func newWorldOf(infos []model.EndpointInfo, config *model.Config, cleanup func(end func())) *world {
+	w := &world{ctx: context.Background(), cleanup: cleanup}
+	w.config.Store(config)
 	w.table = standin.NewTable(standin.TableOptions{})
 	w.objects = standin.NewObjectStore()
 	w.fleet = standin.NewFleet(standin.FleetOptions{}, infos)
@@ -111,19 +122,24 @@
 }
 
 func (w *world) startWith(settings sched.Settings, table platform.Table, endpoints endpoint.Endpoint) *member {
+	return w.startShard(home, settings, sched.Outside{Table: table, Endpoints: endpoints})
+}
+
+// startShard runs a scheduler of the shard; out says what it reaches in its
+// own way.
+func (w *world) startShard(id model.ShardID, settings sched.Settings, out sched.Outside) *member {
 	w.started++
 	name := fmt.Sprintf("s%d", w.started)
 	m := &member{group: duty.NewGroup(w.ctx)}
-	m.daemon = sched.NewDaemon(home, model.InstanceID(name), name+":1", settings, sched.Outside{
-		Table: table, Objects: w.objects.Client(), Instances: w.fleet.List(), Endpoints: endpoints,
-		Clock: clock.System{}, Log: logging.Discard(),
-		Config:       func() *model.Config { return w.config },
-		Start:        m.group.Start,
-		Announce:     func(sched.Holding) bool { return true },
-		NewScheduler: func() policy.Scheduler { return cell.New(cell.Settings{}) },
-	})
-	m.daemon.Configure(w.config, nil)
-	m.service = sched.NewService(w.ctx, clock.System{}, map[model.ShardID]func(sched.Message) bool{home: m.daemon.Offer})
+	out.Objects, out.Instances = w.objects.Client(), w.fleet.List()
+	out.Clock, out.Log = clock.System{}, logging.Discard()
+	out.Config = w.config.Load
+	out.Start = m.group.Start
+	out.Announce = func(sched.Holding) bool { return true }
+	out.NewScheduler = func() policy.Scheduler { return cell.New(cell.Settings{}) }
+	m.daemon = sched.NewDaemon(id, model.InstanceID(name), name+":1", settings, out)
+	m.daemon.Configure(w.config.Load(), nil)
+	m.service = sched.NewService(w.ctx, clock.System{}, map[model.ShardID]func(sched.Message) bool{id: m.daemon.Offer})
 	m.group.Start(m.daemon.Duties()...)
 	w.cleanup(m.stop)
 	return m
--- a/sched/daemon.go
+++ b/sched/daemon.go
@@ -47,6 +47,10 @@
 	// Announce hears what the shard has come to, every second while it is
 	// served.
 	Announce func(Holding) bool
+	// Peers calls other schedulers.
+	Peers Peers
+	// Holder returns the address of a shard's holder, when it is known.
+	Holder func(model.ShardID) (address string, ok bool)
 	// NewScheduler makes the decisions of one epoch.
 	NewScheduler func() policy.Scheduler
 }
@@ -68,6 +72,7 @@
 	d.addSyncs(&ports, settings, out)
 	d.addInstances(settings, out)
 	d.addParts(&ports, out)
+	d.addDelegate(&ports, out)
 	handler := NewShard(id, instance, settings, out.Clock, out.Log, out.NewScheduler, ports)
 	d.shard = duty.New(d.name("shard"), shardRing, handler)
 	return d
@@ -140,6 +145,14 @@
 	d.others = append(d.others, partsRunner{parts})
 }
 
+func (d *Daemon) addDelegate(ports *Ports, out Outside) {
+	delegates := duty.New(d.name("delegate"), delegateRing, &delegateDuty{
+		peers: out.Peers, holder: out.Holder, post: d.post, redirects: map[model.ShardID]string{},
+	})
+	ports.Delegate = delegates.Offer
+	d.others = append(d.others, delegates)
+}
+
 func (d *Daemon) addInstances(settings Settings, out Outside) {
 	polls := duty.New(d.name("instances"), controlRing, &instancesDuty{
 		id: d.id, list: out.Instances, clock: out.Clock, period: settings.ListPeriod,
--- a/sched/faults_test.go
+++ b/sched/faults_test.go
@@ -114,7 +114,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	in := audit.Input{Records: records, Options: audit.DefaultOptions()}
 	if len(records) > 0 {
-		in.Configs = []audit.ConfigChange{{Time: records[0].Time.Add(-time.Hour), Config: w.config}}
+		in.Configs = []audit.ConfigChange{{Time: records[0].Time.Add(-time.Hour), Config: w.config.Load()}}
 	}
 	if c != nil {
 		in.Callers = c.records
--- a/sched/holder.go
+++ b/sched/holder.go
@@ -147,6 +147,7 @@
 	s.attempts = map[model.AttemptID]*attempt{}
 	s.sessions = map[model.EndpointID]*session{}
 	s.storeUp = true
+	s.asking = map[model.ShardID]bool{}
 	s.waitUntil = time.Time{}
 	s.standAt = time.Time{}
 	s.successor = shard.LeaseRow{}
@@ -181,6 +182,11 @@
 	r.uncertain = !r.request.Spec.NotRepeatable
 	r.parts = remembered.Parts
 	r.inherited.intents = remembered.Intents
+	if remembered.Answered == nil && remembered.Moved != nil {
+		r.movedTo = *remembered.Moved
+		r.fire(s.recordChart.adoptedElsewhere)
+		return
+	}
 	if remembered.Answered == nil {
 		r.fire(s.recordChart.adopted)
 		return
--- /dev/null
+++ b/sched/move_test.go
@@ -0,0 +1,142 @@
+package sched_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/peer"
+	"github.com/hornbeamworks/hornbeam/peerrpc"
+	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/sched"
+	"github.com/hornbeamworks/hornbeam/standin"
+)
+
+// neighbour is the shard that moved requests go to.
+var neighbour = model.ShardID{Domain: "b"}
+
+// wire carries calls to the scheduler of the neighbour.
+type wire struct {
+	to *member
+	// lose is the number of replies that are still to be lost; calls counts
+	// all calls.
+	lose, calls atomic.Int64
+}
+
+// Call serves the call and loses its reply while there is one to lose.
+func (w *wire) Call(_ context.Context, _, method string, args, reply any) error {
+	Expect(method).To(Equal(peer.ServiceName + ".Delegate"))
+	w.calls.Add(1)
+	err := w.to.service.Delegate(args.(peer.DelegateRequest), reply.(*peer.DelegateReply))
+	if w.lose.Add(-1) >= 0 {
+		return peerrpc.ErrNoReply
+	}
+	return err
+}
+
+// twoDomains is a world of the failure domains a and b, an endpoint each.
+type twoDomains struct {
+	*world
+	wire *wire
+	home *member
+}
+
+func newTwoDomains() *twoDomains {
+	config := testConfig()
+	config.Domains = append(config.Domains, model.Domain{Name: "b", Shards: 1})
+	infos := append(endpointsOf("a", 1), endpointsOf("b", 1)...)
+	t := &twoDomains{world: newWorldOf(infos, config, func(end func()) { DeferCleanup(end) }), wire: &wire{}}
+	t.wire.to = t.startShard(neighbour, testSettings(), sched.Outside{Table: t.table.Client(), Endpoints: t.fleet.Client()})
+	t.home = t.startHome()
+	return t
+}
+
+func (t *twoDomains) startHome() *member {
+	return t.startShard(home, testSettings(), sched.Outside{
+		Table: t.table.Client(), Endpoints: t.fleet.Client(), Peers: t.wire,
+		Holder: func(id model.ShardID) (string, bool) { return "neighbour:1", id == neighbour },
+	})
+}
+
+// fill occupies all slots of the home's endpoint.
+func (t *twoDomains) fill() {
+	r := request("filler", "batch", time.Minute)
+	r.Spec.Tasks = 8
+	Expect(t.home.submit(r).Code).To(Equal(code(result.Pending)))
+	Eventually(func() int { return t.starts(r) }).WithTimeout(deadline).Should(Equal(8))
+}
+
+// takeOut takes failure domain a out of service.
+func (t *twoDomains) takeOut(members ...*member) {
+	next := *t.config.Load()
+	next.Version++
+	next.Domains = []model.Domain{{Name: "a", Shards: 1, Out: true}, {Name: "b", Shards: 1}}
+	t.config.Store(&next)
+	for _, m := range append(members, t.wire.to) {
+		m.daemon.Configure(&next, nil)
+	}
+}
+
+// startedIn returns the failure domains in which the request's tasks started.
+func (t *twoDomains) startedIn(r peer.SubmitRequest) []model.DomainName {
+	records, err := t.fleet.Records(t.ctx)
+	Expect(err).NotTo(HaveOccurred())
+	var domains []model.DomainName
+	for _, record := range records {
+		if record.Kind == standin.Started && record.Attempt.Task.Request == r.ID {
+			domains = append(domains, record.Domain)
+		}
+	}
+	return domains
+}
+
+var _ = Describe("A failure domain that is taken out", func() {
+	var t *twoDomains
+	var r peer.SubmitRequest
+
+	BeforeEach(func() {
+		t = newTwoDomains()
+		t.fill()
+		r = request("waiting", "batch", 300*time.Millisecond)
+		Expect(t.home.submit(r).Code).To(Equal(code(result.Pending)))
+	})
+
+	It("has its waiting requests run elsewhere, once, and answers them itself", func() {
+		t.takeOut(t.home)
+		answer := t.home.answer(r)
+		Expect(answer.Code).To(Equal(code(result.OK)), answer.Reason)
+		Expect(answer.Parts).To(Equal([]model.Part{{Index: 0, Output: standin.Output(r.Spec.Payload, r.ID, 0)}}))
+		Expect(t.startedIn(r)).To(Equal([]model.DomainName{"b"}))
+	})
+
+	It("runs a request once when replies of the other shard are lost", func() {
+		t.wire.lose.Store(3)
+		t.takeOut(t.home)
+		Expect(t.home.answer(r).Code).To(Equal(code(result.OK)))
+		Expect(t.wire.calls.Load()).To(BeNumerically(">", 3))
+		Expect(t.startedIn(r)).To(Equal([]model.DomainName{"b"}))
+	})
+
+	It("lets a successor fetch the answer of a request that was moved before", func() {
+		t.takeOut(t.home)
+		Eventually(func() []model.DomainName { return t.startedIn(r) }).WithTimeout(deadline).ShouldNot(BeEmpty())
+		t.home.stop()
+		successor := t.startHome()
+		Expect(successor.answer(r).Code).To(Equal(code(result.OK)))
+		Expect(t.startedIn(r)).To(Equal([]model.DomainName{"b"}))
+	})
+
+	It("stops a moved request that is cancelled and says that it ran", func() {
+		long := request("long", "batch", time.Minute)
+		Expect(t.home.submit(long).Code).To(Equal(code(result.Pending)))
+		t.takeOut(t.home)
+		Eventually(func() []model.DomainName { return t.startedIn(long) }).WithTimeout(deadline).Should(HaveLen(1))
+		var reply peer.Reply
+		Expect(t.home.service.Cancel(peer.CancelRequest{ID: long.ID, Team: "t"}, &reply)).To(Succeed())
+		Expect(t.home.answer(long).Code).To(Equal(code(result.CancelledRunning)))
+	})
+})
--- a/sched/record.go
+++ b/sched/record.go
@@ -49,6 +49,12 @@
 	// answer is on record.
 	settled []settledAttempt
 
+	// movedTo is the shard that runs the request; taken says that it is known
+	// to have it, cancelled that the caller has cancelled it.
+	movedTo   model.ShardID
+	taken     bool
+	cancelled bool
+
 	submitters []caller
 	waiters    []caller
 }
@@ -79,15 +85,26 @@
 	windowOver      chart.Event
 	retentionOver   chart.Event
 
+	relocate          chart.Event
+	movedDurable      chart.Event
+	answeredElsewhere chart.Event
+	adoptedElsewhere  chart.Event
+
 	unrecorded chart.StateSet
 	unanswered chart.StateSet
 	ending     chart.StateSet
 	answered   chart.StateSet
+	// moved are the states in which another shard runs the request; elsewhere
+	// is the one in which it may be asked.
+	moved     chart.StateSet
+	elsewhere chart.StateSet
 }
 
 func newRecordChart() *recordChart {
 	m := chart.MustBind(charts.MustLoad("request"), chart.Guards[record]{
 		"repeatable": func(r *record) bool { return !r.request.Spec.NotRepeatable },
+		"movable":    (*record).movable,
+		"overdue":    (*record).overdue,
 	}, chart.Actions[record]{
 		"record_acceptance": (*record).recordAcceptance,
 		"hand_over":         func(r *record) { r.shard.handOver(r) },
@@ -96,6 +113,9 @@
 		"refuse_unrecorded": (*record).refuseUnrecorded,
 		"tell_answer":       (*record).tellAnswer,
 		"acknowledge":       (*record).acknowledge,
+		"leave_scheduler":   (*record).leaveScheduler,
+		"record_move":       (*record).recordMove,
+		"give_up":           (*record).giveUp,
 	})
 	return &recordChart{
 		machine:         m,
@@ -112,6 +132,13 @@
 		unanswered:      m.MustSet("recording", "early", "open"),
 		ending:          m.MustSet("ending"),
 		answered:        m.MustSet("answered"),
+		moved:           m.MustSet("moving", "elsewhere"),
+		elsewhere:       m.MustSet("elsewhere"),
+
+		relocate:          m.MustEvent("relocate"),
+		movedDurable:      m.MustEvent("moved_durable"),
+		answeredElsewhere: m.MustEvent("answered_elsewhere"),
+		adoptedElsewhere:  m.MustEvent("adopted_elsewhere"),
 	}
 }
 
--- a/sched/requests.go
+++ b/sched/requests.go
@@ -160,6 +160,10 @@
 
 // cancel ends a request, by the scheduler when it has it.
 func (s *Shard) cancel(r *record) {
+	if s.recordChart.moved.Has(r.state) {
+		r.cancelled = true
+		return
+	}
 	if r.handed {
 		s.policy.Cancel(s.now, r.request.ID)
 		s.dirty = true
@@ -175,7 +179,7 @@
 // waited for, so that the answer says truly whether the work ran.
 func (s *Shard) end(e policy.Ending) {
 	r := s.records[e.Request]
-	if r == nil || r.answer != nil {
+	if r == nil || r.answer != nil || s.recordChart.moved.Has(r.state) {
 		return
 	}
 	s.withdraw(r)
@@ -235,7 +239,7 @@
 func (s *Shard) prune() {
 	oldest := s.now.Add(-s.settings.Journal.Retention)
 	for id, r := range s.records {
-		if !s.recordChart.answered.Has(r.state) || !r.answeredAt.Before(oldest) {
+		if !s.recordChart.answered.Has(r.state) || !r.answeredAt.Before(oldest) || !r.request.Deadline.Before(oldest) {
 			continue
 		}
 		r.fire(s.recordChart.retentionOver)
--- a/sched/service.go
+++ b/sched/service.go
@@ -54,6 +54,23 @@
 	return nil
 }
 
+// Delegate takes requests that another shard has moved here, and says how they
+// stand.
+func (s *Service) Delegate(request peer.DelegateRequest, reply *peer.DelegateReply) error {
+	offer := s.shards[request.To]
+	replies := make(chan peer.DelegateReply, 1)
+	if offer == nil || !offer(delegation{request, replies}) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, replyGrace)
+	defer cancel()
+	select {
+	case *reply = <-replies:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
 // call hands the message to the home shard's duty and waits for its reply.
 func (s *Service) call(id model.RequestID, wait time.Duration, message func(caller) Message) peer.Reply {
 	home, err := id.Home()
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/routing"
 	"github.com/hornbeamworks/hornbeam/shard"
 )
 
@@ -45,6 +46,8 @@
 	Resign func() bool
 	// Parts takes the teams' standings.
 	Parts func(partsMessage) bool
+	// Delegate asks another shard about requests that were moved there.
+	Delegate func(delegateJob) bool
 	// Sync hands a Sync to one of the workers, numbered from 0.
 	Sync []func(syncJob) bool
 }
@@ -69,26 +72,29 @@
 	incoming  held
 	listKnown bool
 	config    *model.Config
+	homes     *routing.Homes
 	listed    []model.EndpointInfo
 	fleet     []model.EndpointInfo
 	successor shard.LeaseRow
 
 	// The fields below belong to the epoch that is held.
-	epoch     model.Epoch
-	proof     *shard.Proof
-	policy    policy.Scheduler
-	records   map[model.RequestID]*record
-	active    map[model.RequestID]*record
-	attempts  map[model.AttemptID]*attempt
-	sessions  map[model.EndpointID]*session
-	image     *journal.Image
-	members   []model.EndpointInfo
-	proposed  []model.EndpointInfo
-	appended  uint64
-	durable   uint64
-	unsent    []journal.Append
-	onRecord  []onRecord
-	storeUp   bool
+	epoch    model.Epoch
+	proof    *shard.Proof
+	policy   policy.Scheduler
+	records  map[model.RequestID]*record
+	active   map[model.RequestID]*record
+	attempts map[model.AttemptID]*attempt
+	sessions map[model.EndpointID]*session
+	image    *journal.Image
+	members  []model.EndpointInfo
+	proposed []model.EndpointInfo
+	appended uint64
+	durable  uint64
+	unsent   []journal.Append
+	onRecord []onRecord
+	storeUp  bool
+	// asking are the shards that are being asked about moved requests.
+	asking    map[model.ShardID]bool
 	endings   []policy.Ending
 	plan      policy.Plan
 	wake      time.Time
@@ -148,6 +154,8 @@
 	if s.now.After(s.sweepAt) {
 		s.sweepAt = s.now.Add(sweepPeriod)
 		s.sweep()
+		s.relocate()
+		s.ask()
 	}
 	if s.now.After(s.pruneAt) {
 		s.pruneAt = s.now.Add(prunePeriod)
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/routing"
 )
 
 // attemptsPerEpoch is the distance between the attempt numbers of two epochs.
@@ -92,6 +93,9 @@
 		s.inherit(se)
 	}
 	for _, r := range s.oldestFirst() {
+		if s.recordChart.moved.Has(r.state) {
+			continue
+		}
 		if r.former {
 			s.adopt(r)
 			continue
@@ -136,7 +140,7 @@
 	if r == nil && !request.Spec.NotRepeatable {
 		r = s.restoreEarly(request)
 	}
-	if r == nil || r.answer != nil || r.hasPart(id.Task.Index) {
+	if r == nil || r.answer != nil || s.recordChart.moved.Has(r.state) || r.hasPart(id.Task.Index) {
 		return
 	}
 	start := policy.Start{Attempt: id, Endpoint: se.info.ID, Size: size, Request: r.request}
@@ -303,6 +307,7 @@
 		return
 	}
 	s.config = m.config
+	s.homes = routing.NewHomes(m.config.Domains)
 	s.setPace()
 	if s.holding() {
 		s.policy.SetConfig(s.now, s.config)
