--- a/policy/cell/explain.go
+++ b/policy/cell/explain.go
@@ -20,7 +20,7 @@
 		return explanation, true
 	}
 	ahead := jobsAhead(j)
-	if wait, known := j.Queue.Starts.Wait(now, ahead+1); known {
+	if wait, known := j.Queue.Starts.Wait(now, j.Queue.First.Request.Accepted, ahead+1); known {
 		explanation.Start = now.Add(wait)
 	}
 	explanation.Position = ahead + c.jobsBefore(j.Queue)
--- a/policy/cell/start.go
+++ b/policy/cell/start.go
@@ -23,12 +23,13 @@
 	if !c.choose(j, count) {
 		return false
 	}
+	accepted := j.Request.Accepted
 	for _, n := range c.chosen {
 		c.place(j.Head(), n, size, plan)
 	}
 	c.unreserveJob(j)
 	c.used(j.Team)
-	j.Queue.Starts.Observe(c.now)
+	j.Queue.Starts.Observe(c.now, accepted)
 	j.Review()
 	return true
 }
--- a/policy/cell/submit.go
+++ b/policy/cell/submit.go
@@ -106,10 +106,10 @@
 	if q.Tasks > 0 && q.Tasks+spec.Tasks > c.settings.QueueLimit {
 		return result.Errorf(result.QueueFull, "%d tasks of the class and team are queued", q.Tasks)
 	}
-	if class.Shortage != model.Refuse || q.Tasks == 0 {
+	if class.Shortage != model.Refuse || q.First == nil {
 		return nil
 	}
-	if wait, known := q.Starts.Wait(c.now, q.Tasks+1); known && wait > class.MaxWait {
+	if wait, known := q.Starts.Wait(c.now, q.First.Request.Accepted, q.Tasks+1); known && wait > class.MaxWait {
 		return result.Errorf(result.ShortOfCapacity, "the work would wait longer than its class allows")
 	}
 	return nil
--- a/policy/estimate/rate.go
+++ b/policy/estimate/rate.go
@@ -22,8 +22,8 @@
 // Value returns the share of failures, from 0 to 1.
 func (r *Rate) Value() float64 { return r.value }
 
-// Frequency estimates how often something happens, by an exponentially
-// weighted mean of the time between two times.
+// Frequency estimates how often a queue starts something while it has
+// something to start, by an exponentially weighted mean of the time between.
 type Frequency struct {
 	last time.Time
 	mean time.Duration
@@ -32,19 +32,25 @@
 // frequencyWeight divides the weight of a new sample in a Frequency.
 const frequencyWeight = 8
 
-// Observe notes that it happened.
-func (f *Frequency) Observe(now time.Time) {
-	if !f.last.IsZero() {
-		f.mean += (now.Sub(f.last) - f.mean) / frequencyWeight
-	}
+// Observe notes a start of work that has waited since the time given.
+func (f *Frequency) Observe(now, since time.Time) {
+	f.mean += (f.gap(now, since) - f.mean) / frequencyWeight
 	f.last = now
 }
 
-// Wait returns how long it takes to happen n times; ok is false while nothing
-// is known.
-func (f *Frequency) Wait(now time.Time, n int) (wait time.Duration, ok bool) {
+// Wait returns how long n starts take, when the oldest work that waits has
+// done so since the time given; ok is false while nothing is known.
+func (f *Frequency) Wait(now, since time.Time, n int) (wait time.Duration, ok bool) {
 	if f.last.IsZero() {
 		return 0, false
 	}
-	return max(f.mean, now.Sub(f.last)/frequencyWeight) * time.Duration(n), true
+	return max(f.mean, f.gap(now, since)/frequencyWeight) * time.Duration(n), true
+}
+
+// gap is the time since the last start in which there was something to start.
+func (f *Frequency) gap(now, since time.Time) time.Duration {
+	if f.last.After(since) {
+		since = f.last
+	}
+	return now.Sub(since)
 }
--- a/policy/naive/bench_test.go
+++ b/policy/naive/bench_test.go
@@ -219,3 +219,44 @@
 	}
 	panic("the urgent request was not started")
 }
+
+// BenchmarkCancel measures one cancellation in a wave of 10,000, with the plan
+// that reports the whole wave spread over its cancellations.
+func BenchmarkCancel(b *testing.B) {
+	full := newBench(cell.New(policy.Settings{}), 1600, 0)
+	wave := make([]*model.Request, benchBacklog)
+	for i := range wave {
+		wave[i] = full.request(2)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		at := i % len(wave)
+		if at == 0 {
+			b.StopTimer()
+			full.submitWave(wave)
+			b.StartTimer()
+		}
+		full.scheduler.Cancel(full.now, wave[at].ID)
+		if at == len(wave)-1 {
+			full.decide()
+			full.stopHalted()
+		}
+	}
+}
+
+// stopHalted ends the attempts that the plan halts.
+func (b *bench) stopHalted() {
+	for _, halt := range b.plan.Halts {
+		b.scheduler.Finish(b.now, policy.Finish{Attempt: halt.Attempt, Outcome: model.Stopped})
+	}
+}
+
+// submitWave submits the requests and makes plans until all are queued.
+func (b *bench) submitWave(wave []*model.Request) {
+	b.now = b.now.Add(time.Second)
+	b.decide()
+	for _, request := range wave {
+		b.submit(request)
+	}
+	b.decide()
+}
--- a/policy/naive/policy_test.go
+++ b/policy/naive/policy_test.go
@@ -176,6 +176,32 @@
 		w.submit("b", "batch", model.Spec{})
 	})
 
+	It("refuses early what its class would have wait too long, and takes a burst", func() {
+		w := newWorld(createCell(policy.Settings{}), 1)
+		for range 12 {
+			w.now = w.now.Add(time.Minute)
+			w.submit("a", "brief", model.Spec{Size: wholeSize})
+			w.finish(w.decide(0)[0], model.Succeeded)
+		}
+		w.now = w.now.Add(time.Hour)
+		w.submit("a", "brief", model.Spec{Size: wholeSize})
+		w.submit("a", "brief", model.Spec{Size: wholeSize})
+		running := w.decide(0)
+		refused := map[result.Code]int{}
+		for range 24 {
+			for range 2 {
+				if err := w.scheduler.Submit(w.now, w.request("a", "brief", model.Spec{Size: wholeSize})); err != nil {
+					refused[result.Of(err).Code]++
+				}
+			}
+			w.now = w.now.Add(50 * time.Second)
+			w.finish(running[0], model.Succeeded)
+			running = w.decide(0)
+		}
+		Expect(refused).To(HaveLen(1))
+		Expect(refused).To(HaveKeyWithValue(result.ShortOfCapacity, BeNumerically(">", 5)))
+	})
+
 	It("starts every feasible request under a flood of others", func() {
 		w := newWorld(createCell(policy.Settings{}), 2)
 		waiting := w.submit("c", "batch", model.Spec{Kind: model.Gang, Tasks: 2, Size: wholeSize})
