--- a/policy/cell/finish.go
+++ b/policy/cell/finish.go
@@ -21,7 +21,7 @@
 	// lowerQuantile is the part of the tasks that a lowered size holds.
 	lowerQuantile = 0.99
 	// lowerMargin is the headroom of a lowered size.
-	lowerMargin = 1.25
+	lowerMargin = 1.1
 	// leastFactor bounds how far a size is lowered.
 	leastFactor = 0.1
 	// timeQuantile is the part of the tasks that a learned run time covers.
--- a/policy/estimate/ratio.go
+++ b/policy/estimate/ratio.go
@@ -8,9 +8,9 @@
 // The histogram of Ratio: bucket i holds ratios up to step^(i-exact), so that a
 // declaration that is right falls on a bound.
 const (
-	buckets = 40
-	exact   = 20
-	step    = 1.2
+	buckets = 64
+	exact   = 32
+	step    = 1.1
 	// rounding keeps a ratio on a bound in the bucket below it.
 	rounding = 1e-9
 )
