--- a/policy/cell/reserve.go
+++ b/policy/cell/reserve.go
@@ -19,7 +19,7 @@
 	// is passed by no other on what is reserved for it.
 	rescueAfter = 2
 	// reserveJobs is the most jobs that are reserved for at a time.
-	reserveJobs = 1
+	reserveJobs = 3
 	// reserveAfter divides the longest wait: a job that has waited for this
 	// part of it is reserved for.
 	reserveAfter = 8
