--- a/policy/cell/host.go
+++ b/policy/cell/host.go
@@ -97,6 +97,14 @@
 	})
 }
 
+// The bounds of the memory that is kept for new jobs.
+const (
+	// maxPool is the most forgotten jobs that are kept.
+	maxPool = 4096
+	// maxPooledTasks is the most tasks that a kept job has room for.
+	maxPooledTasks = 64
+)
+
 // Forget drops the job: nothing of it is live.
 func (c *Cell) Forget(j *work.Job) {
 	if j.InQueue {
@@ -108,7 +116,9 @@
 	}
 	j.Queue.Open--
 	delete(c.jobs, j.Request.ID)
-	c.pool = append(c.pool, j)
+	if len(c.pool) < maxPool && cap(j.Tasks) <= maxPooledTasks {
+		c.pool = append(c.pool, j)
+	}
 }
 
 // treatmentOf is how the class lets a running attempt be moved out of the way;
