--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -64,6 +64,7 @@
 	preemptNext time.Time
 	slots       []slot
 	running     []*work.Task
+	slotCursor  int
 	cursor      int
 	victims     []*work.Task
 	found       []*work.Task
--- a/policy/cell/reserve.go
+++ b/policy/cell/reserve.go
@@ -18,6 +18,8 @@
 	// rescueAfter divides the window: a job that has waited for this part of it
 	// is passed by no other on what is reserved for it.
 	rescueAfter = 2
+	// slotNodes is the most endpoints that are looked at for a single task.
+	slotNodes = 128
 	// reserveJobs is the most jobs that are reserved for at a time.
 	reserveJobs = 3
 	// reserveAfter divides the longest wait: a job that has waited for this
@@ -127,7 +129,13 @@
 func (c *Cell) findSlots(j *work.Job) {
 	c.slots = c.slots[:0]
 	size, count := c.size(j), j.Count()
-	for _, n := range c.nodeOrder {
+	nodes := len(c.nodeOrder)
+	if count == 1 {
+		nodes = min(nodes, slotNodes)
+	}
+	for range nodes {
+		c.slotCursor = (c.slotCursor + 1) % len(c.nodeOrder)
+		n := c.nodeOrder[c.slotCursor]
 		if !n.Open() || n.Reserved != nil || j.Head().Avoids(n.Info.ID) {
 			continue
 		}
