--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -65,6 +65,8 @@
 
 	// addresses are the schedulers', fronts the gates'.
 	addresses, fronts []string
+	// holder is the last known holder of the domain's first shard.
+	holder *Daemon
 }
 
 // StartCluster starts a cluster that ends with the test. It returns when every
@@ -150,6 +152,9 @@
 	}).WithTimeout(Patience).WithPolling(50 * time.Millisecond).Should(gomega.BeTrue())
 	w.Done()
 	c.warm = c.Started()
+	for i := range c.Domains {
+		c.Holder(i)
+	}
 }
 
 // SetLinks sets the faults of all connections from one domain's gates to the
--- a/integration/harness/observe.go
+++ b/integration/harness/observe.go
@@ -102,7 +102,7 @@
 }
 
 // Holder returns the scheduler whose address stands in the lease row of the
-// domain's first shard.
+// domain's first shard, or stood there last while the table is down.
 func (c *Cluster) Holder(at int) *Daemon {
 	var found *Daemon
 	gomega.Eventually(func() *Daemon {
@@ -115,14 +115,14 @@
 func (c *Cluster) named(d *Domain) *Daemon {
 	row, err := c.Table().Get(context.Background(), "shard/"+d.Name+"/0/lease")
 	if err != nil {
-		return nil
+		return d.holder
 	}
 	for i, address := range d.addresses {
 		if strings.Contains(string(row.Value), address) {
-			return d.Scheds[i]
+			d.holder = d.Scheds[i]
 		}
 	}
-	return nil
+	return d.holder
 }
 
 // Judge audits the run so far and fails the test when a promise was broken.
