Take back a start that has not left when its request is cancelled

A cancelled request that is not repeatable went on to run: the stop order reached the endpoint while the start still waited for its record, and the start came after it. The holder now takes such a start back. The gate gives a holder 6 s to stop work; with 2 s it answered home_unreachable while the holder was at it.

The new test failed before (pending after 5 s) and passes now.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -34,6 +34,8 @@
 	// Try bounds one call to a peer beyond the time that the peer was asked to
 	// wait.
 	Try time.Duration
+	// CancelBudget is how long a holder may take to stop a request's work.
+	CancelBudget time.Duration
 	// MaxWait is the longest wait that a caller may ask for.
 	MaxWait time.Duration
 	// WaitSlice is the longest wait asked of a peer at once, so that a peer
@@ -53,6 +55,7 @@
 		TeamBurst:       2000,
 		SubmitBudget:    10 * time.Second,
 		Try:             2 * time.Second,
+		CancelBudget:    6 * time.Second,
 		MaxWait:         30 * time.Second,
 		WaitSlice:       2 * time.Second,
 		PlacementMemory: time.Hour,
--- a/gate/visit.go
+++ b/gate/visit.go
@@ -86,7 +86,7 @@
 	if !v.known(id) {
 		return reading(result.Answer(id, result.UnknownRequest, "no request has this id"))
 	}
-	outcome := v.call(id, methodCancel, false, 0, func(hops int) any {
+	outcome := v.call(id, methodCancel, false, v.gate.settings.CancelBudget, func(hops int) any {
 		return peer.CancelRequest{ID: id, Team: v.grant.team, Hops: hops}
 	})
 	answer := v.readingOutcome(id, outcome)
--- a/sched/path_test.go
+++ b/sched/path_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -77,6 +78,25 @@
 	})
 })
 
+var _ = Describe("A cancellation that comes before the start has left", func() {
+	It("takes the start back", func() {
+		w := newWorld(1)
+		m := w.start()
+		for i := range 5 {
+			r := request("early-"+strconv.Itoa(i), "batch", time.Minute)
+			Expect(m.submit(r).Code).To(Equal(code(result.Pending)))
+			var reply peer.Reply
+			Expect(m.service.Cancel(peer.CancelRequest{ID: r.ID, Team: "t"}, &reply)).To(Succeed())
+			switch reply.Answer.Code {
+			case code(result.Cancelled):
+				Expect(w.starts(r)).To(BeZero())
+			default:
+				Expect(reply.Answer.Code).To(Equal(code(result.CancelledRunning)), reply.Answer.Reason)
+			}
+		}
+	})
+})
+
 // ended counts the ends of the request's attempts on record.
 func (w *world) ended(r peer.SubmitRequest) int {
 	records, err := w.fleet.Records(w.ctx)
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -95,8 +95,14 @@
 	session.enqueue(a)
 }
 
-// halt orders the treatment of a running attempt.
+// halt orders the treatment of a running attempt. A start that has not left is
+// taken back instead: the endpoint would not know it yet, and start it after.
 func (s *Shard) halt(h policy.Halt) {
+	a := s.attempts[h.Attempt]
+	if h.Treatment != model.Throttle && a != nil && !a.sent && !a.confirmed {
+		s.reject(a)
+		return
+	}
 	session := s.sessions[h.Endpoint]
 	if session == nil {
 		return
