Note when a failure domain is brought back, so that a repetition finds its request

Nothing set the time of return, so that the gate did not ask where a request had gone during a take-out: a repeated submission after the return had another home and would have run again. The test hands in 20 requests while a domain is out and again after its return, and finds each known.

--- a/config/change.go
+++ b/config/change.go
@@ -189,6 +189,7 @@
 	if err := a.change.Edit.Apply(next); err != nil {
 		return err
 	}
+	markReturns(a.head.Config, next, a.writer.options.Clock.Now())
 	if err := Check(next); err != nil {
 		return err
 	}
--- a/config/change_test.go
+++ b/config/change_test.go
@@ -104,6 +104,16 @@
 		Expect(head().Domains[0].Out).To(BeTrue())
 	})
 
+	It("notes when a failure domain came back, and keeps that through later changes", func() {
+		Expect(change(config.Change{ID: "out", Base: 1, Edit: config.ServeDomain{Name: "a", Out: true}}).Code).To(Equal(result.OK))
+		Expect(head().Domains[0].BackAt).To(BeZero())
+		Expect(change(config.Change{ID: "in", Base: 2, Edit: config.ServeDomain{Name: "a"}}).Code).To(Equal(result.OK))
+		back := head().Domains[0].BackAt
+		Expect(back).NotTo(BeZero())
+		Expect(change(config.Change{ID: "later", Base: 3, Edit: north(300)}).Code).To(Equal(result.OK))
+		Expect(head().Domains[0].BackAt).To(BeTemporally("==", back))
+	})
+
 	It("settles a lost reply by the audit log and makes the change once", func() {
 		rows.set(func(t *table) { t.loseReply = 1 })
 		outcome := change(config.Change{ID: "c1", Base: 1, Edit: north(300)})
--- a/gate/httpapi/httpapi_test.go
+++ b/gate/httpapi/httpapi_test.go
@@ -160,6 +160,27 @@
 		Expect(got.status).To(Equal(http.StatusOK))
 	})
 
+	It("knows a repetition although its failure domain was out in between", func() {
+		const keys = 20
+		submitAll := func() []model.RequestID {
+			var ids []model.RequestID
+			for i := range keys {
+				answer := f.submit(fmt.Sprintf("moved-%d", i))
+				Expect(result.Code(answer.Code)).To(Equal(result.Pending))
+				ids = append(ids, answer.ID)
+			}
+			return ids
+		}
+		out, back := testConfig(2), testConfig(3)
+		out.Domains[0].Out = true
+		back.Domains[0].BackAt = time.Now()
+		Expect(f.admission.SetConfig(out)).To(BeTrue())
+		during := submitAll()
+		Expect(f.admission.SetConfig(back)).To(BeTrue())
+		Expect(submitAll()).To(Equal(during))
+		Expect(f.holder.known()).To(HaveLen(keys))
+	})
+
 	It("never goes back to an older configuration", func() {
 		next := testConfig(2)
 		next.Keys = next.Keys[1:]
