Never call a call not sent that was sent when its connection ended

net/rpc gives ErrShutdown to pending calls when its client is closed while the peer hangs up, and peerrpc closes it on the first failure of any call: another call that had been sent could then count as not sent, and its refusal say not run. The socket is closed instead. The race was found by reading and is not provoked by a test. The test of a hanging peer gave a millisecond to connect and call, which one run exceeded with the connecting; it now connects beforehand.

--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -30,12 +30,21 @@
 	// mu guards connections: callers are the handlers of many requests, and
 	// each holds it only to look up or replace an entry.
 	mu          sync.Mutex
-	connections map[string]*rpc.Client
+	connections map[string]*link
+}
+
+// link is one connection. Its end is made by closing the socket, never the
+// rpc.Client: net/rpc gives ErrShutdown to calls that were sent, too, when its
+// client is closed while the peer hangs up. So ErrShutdown always stands for a
+// call that was not sent.
+type link struct {
+	*rpc.Client
+	socket net.Conn
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{connections: map[string]*rpc.Client{}}
+	return &Client{connections: map[string]*link{}}
 }
 
 // Call calls the method of the peer at address and fills reply. It returns
@@ -61,12 +70,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, connection := range c.connections {
-		_ = connection.Close()
+		_ = connection.socket.Close()
 		delete(c.connections, address)
 	}
 }
 
-func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context, address string) (*link, error) {
 	c.mu.Lock()
 	connection := c.connections[address]
 	c.mu.Unlock()
@@ -78,15 +87,15 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 	}
-	return c.keep(address, rpc.NewClient(socket)), nil
+	return c.keep(address, &link{Client: rpc.NewClient(socket), socket: socket}), nil
 }
 
 // keep stores a new connection, unless another caller was faster.
-func (c *Client) keep(address string, fresh *rpc.Client) *rpc.Client {
+func (c *Client) keep(address string, fresh *link) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.connections[address]; other != nil {
-		_ = fresh.Close()
+		_ = fresh.socket.Close()
 		return other
 	}
 	c.connections[address] = fresh
@@ -94,7 +103,7 @@
 }
 
 // settle tells an error of the peer's method from one of the connection.
-func (c *Client) settle(address string, connection *rpc.Client, err error) error {
+func (c *Client) settle(address string, connection *link, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -108,11 +117,11 @@
 	return eris.Wrapf(ErrNoReply, "%s: %v", address, err)
 }
 
-func (c *Client) drop(address string, connection *rpc.Client) {
+func (c *Client) drop(address string, connection *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.connections[address] == connection {
 		delete(c.connections, address)
 	}
-	_ = connection.Close()
+	_ = connection.socket.Close()
 }
--- a/peerrpc/peerrpc_test.go
+++ b/peerrpc/peerrpc_test.go
@@ -86,6 +86,8 @@
 		defer close(s.echo.release)
 		client := peerrpc.NewClient()
 		var reply string
+		// Connected beforehand, so that the short time is the call's alone.
+		Expect(client.Call(ctx, s.address, "Echo.Say", "word", &reply)).To(Succeed())
 		short, cancel := context.WithTimeout(ctx, time.Millisecond)
 		defer cancel()
 		err := client.Call(short, s.address, "Echo.Hang", "word", &reply)
