Give a shard that starves its part of a team's limit at once

Cause: after a failure domain came back under load, its urgent requests waited until the load ended. The other shards held the whole limits and kept what was above their fair parts by less than 1/24 of the limit, which is all that a shard with little demand asks for. Ruled out: the move of waiting requests (the late ones were submitted after the return) and capacity (packing was 60 %).

--- a/escrow/escrow.go
+++ b/escrow/escrow.go
@@ -17,7 +17,7 @@
 const (
 	// period is the time from one look at the ledger, and one write at most, to
 	// the next.
-	period = time.Second
+	period = 400 * time.Millisecond
 	// tableTimeout bounds one call of the table.
 	tableTimeout = 900 * time.Millisecond
 	// dutyRing is the capacity of the duty's ring. A full ring refuses: the next
--- a/escrow/escrow_test.go
+++ b/escrow/escrow_test.go
@@ -64,6 +64,22 @@
 		Expect(w.running[w.shards[1]][model.Slots]).To(BeNumerically("~", 12, 1))
 	})
 
+	It("lets a shard with little demand in when the others could use everything", func() {
+		w = newWorld(slots(96), 3)
+		w.rounds(2)
+		w.holder(w.shards[0]).queued = slots(1000)
+		w.holder(w.shards[1]).queued = slots(1000)
+		w.rounds(8)
+		Expect(w.running[w.shards[0]].Add(w.running[w.shards[1]])).To(Equal(slots(96)))
+		w.holder(w.shards[2]).queued = slots(2)
+		for range 10 {
+			w.finish(w.shards[0], slots(2))
+			w.finish(w.shards[1], slots(2))
+			w.rounds(1)
+		}
+		Expect(w.running[w.shards[2]]).To(Equal(slots(2)))
+	})
+
 	It("writes nothing while the load is steady", func() {
 		for _, shard := range w.shards {
 			w.holder(shard).queued = slots(100)
--- a/escrow/plan.go
+++ b/escrow/plan.go
@@ -53,15 +53,17 @@
 	}
 	want := a.want()
 	use, part := before.Part, before.Part
-	target := a.target(entry, want)
+	index := slices.IndexFunc(entry.Holdings, func(h Holding) bool { return h.Shard == a.shard })
 	sum := entry.Parts()
 	for r := range part {
-		use[r] = a.lower(entry, r, before.Part[r], target[r], sum[r])
+		targets := a.targets(entry, r, index, want[r])
+		target := targets[index]
+		use[r] = a.lower(entry, r, index, before.Part[r], sum[r], targets)
 		if use[r] < before.Part[r] {
 			part[r] = a.released(r, before.Part[r], use[r])
 			continue
 		}
-		part[r] += a.raise(r, before.Part[r], want[r], target[r], sum[r])
+		part[r] += a.raise(r, before.Part[r], want[r], target, sum[r])
 	}
 	own.Part = part
 	write := seeded || part != before.Part || a.worthTelling(before, part, want)
@@ -98,20 +100,15 @@
 	return want
 }
 
-// target is the part that is fair by the wants of all shards.
-func (a *account) target(entry *Account, want model.Resources) model.Resources {
-	inService := a.services(entry)
-	own := slices.IndexFunc(entry.Holdings, func(h Holding) bool { return h.Shard == a.shard })
-	var target model.Resources
+// targets are the parts of a resource that are fair by the wants of all shards;
+// own is the index of this shard and want what it wants now.
+func (a *account) targets(entry *Account, r, own int, want int64) []int64 {
 	wants := make([]int64, len(entry.Holdings))
-	for r := range target {
-		for i, h := range entry.Holdings {
-			wants[i] = h.Want[r]
-		}
-		wants[own] = want[r]
-		target[r] = fair(a.limit[r], wants, inService)[own]
+	for i, h := range entry.Holdings {
+		wants[i] = h.Want[r]
 	}
-	return target
+	wants[own] = want
+	return fair(a.limit[r], wants, a.services(entry))
 }
 
 func (a *account) services(entry *Account) []bool {
@@ -123,20 +120,34 @@
 }
 
 // lower returns the part to be used now: less than part when the limit was
-// lowered, or when another shard could use what is above the target.
-func (a *account) lower(entry *Account, r int, part, target, sum int64) int64 {
+// lowered, or when another shard could use what is above the target. What is
+// above it by little is kept, unless another shard starves.
+func (a *account) lower(entry *Account, r, own int, part, sum int64, targets []int64) int64 {
 	if !a.upToDate {
 		return part
 	}
 	if over := sum - a.limit[r]; over > 0 {
 		return max(part-over, 0)
 	}
-	if part-target > a.limit[r]/(hysteresis*int64(len(entry.Holdings))) && a.hungryOthers(entry, r) {
-		return target
+	excess := part - targets[own]
+	much := excess > a.limit[r]/(hysteresis*int64(len(entry.Holdings)))
+	if excess > 0 && (much && a.hungryOthers(entry, r) || a.starvingOthers(entry, r, targets)) {
+		return targets[own]
 	}
 	return part
 }
 
+// starvingOthers reports whether another shard wants more than its part and has
+// less than half of what is fair.
+func (a *account) starvingOthers(entry *Account, r int, targets []int64) bool {
+	for i, h := range entry.Holdings {
+		if h.Shard != a.shard && h.Want[r] > h.Part[r] && 2*h.Part[r] < targets[i] {
+			return true
+		}
+	}
+	return false
+}
+
 // hungryOthers reports whether another shard could use more than its part.
 func (a *account) hungryOthers(entry *Account, r int) bool {
 	for _, h := range entry.Holdings {
--- a/sched/parts.go
+++ b/sched/parts.go
@@ -15,7 +15,7 @@
 
 const (
 	// standingPeriod is the time between two looks at the teams' standings.
-	standingPeriod = time.Second
+	standingPeriod = 300 * time.Millisecond
 	// partsRing is the capacity of the ring of the parts duty. A full ring
 	// refuses: the next standings say the same or better.
 	partsRing = 8
