--- a/integration/harness/settings.go
+++ b/integration/harness/settings.go
@@ -58,10 +58,10 @@
 func (c *Cluster) initialise() {
 	d, err := deployment.Load(filepath.Join(c.dir, "deployment.ini"))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	var keys []model.Key
+	keys := []model.Key{{ID: OperatorKey, Role: model.Operator, Hash: hashOf(secret(OperatorKey))}}
 	for _, team := range []string{DefaultTeam, OtherTeam} {
 		keys = append(keys, model.Key{
-			ID: "key-" + team, Team: model.TeamName(team), Role: model.Submitter, Hash: hashOf(secret(team)),
+			ID: KeyOf(team), Team: model.TeamName(team), Role: model.Submitter, Hash: hashOf(secret(team)),
 		})
 	}
 	gomega.Expect(config.Initialise(context.Background(), c.Table(), *d.Config(keys))).To(gomega.Succeed())
