Keep two entry instances from placing one key at two homes

Cause: within the seconds in which only one of two gates knew of a take-out or return, both could have a submission with the same key accepted, at different homes; work that is not repeatable could then run twice.

Change: the gate's question to other homes carries its configuration version, and a home that acts by an older one answers busy in place of unknown; while placements are unsettled a home takes nothing new from a gate with an older version. A shard duty that gives no word in time is reported home_unreachable, which is not final, in place of outcome_unknown.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -58,7 +58,7 @@
 		CancelBudget:    6 * time.Second,
 		MaxWait:         30 * time.Second,
 		WaitSlice:       2 * time.Second,
-		PlacementMemory: time.Hour,
+		PlacementMemory: routing.PlacementMemory,
 	}
 }
 
--- a/gate/visit.go
+++ b/gate/visit.go
@@ -113,7 +113,7 @@
 // home that can't be asked holds up work that must not run twice.
 func (v *Visit) askFirst(ids []model.RequestID, once bool) (model.Answer, bool) {
 	for _, id := range ids {
-		answer := v.await(id, 0)
+		answer := v.askEarlier(id)
 		switch result.Code(answer.Code) {
 		case result.UnknownRequest:
 		case result.HomeUnreachable:
@@ -127,6 +127,15 @@
 	return model.Answer{}, false
 }
 
+// askEarlier asks a home whether it has the request, as one that acts by this
+// gate's version of the configuration.
+func (v *Visit) askEarlier(id model.RequestID) model.Answer {
+	outcome := v.call(id, methodAwait, false, 0, func(hops int) any {
+		return peer.AwaitRequest{ID: id, Team: v.grant.team, ConfigVersion: v.grant.config.Version, Hops: hops}
+	})
+	return v.readingOutcome(id, outcome)
+}
+
 func (v *Visit) submit(id model.RequestID, key model.IdempotencyKey, spec model.Spec, budget time.Duration) model.Answer {
 	outcome := v.call(id, methodSubmit, true, budget, func(hops int) any {
 		return peer.SubmitRequest{
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -35,6 +35,10 @@
 	Team model.TeamName
 	// Wait is how long to wait for the answer.
 	Wait time.Duration
+	// ConfigVersion is set by a gate that asks whether the request was
+	// submitted here before: a shard that acts by an older version may still
+	// take it from another gate and does not say that it is unknown.
+	ConfigVersion model.ConfigVersion
 	// Hops counts the processes that have passed the request on.
 	Hops int
 }
--- a/routing/home.go
+++ b/routing/home.go
@@ -18,6 +18,10 @@
 	"github.com/hornbeamworks/hornbeam/model"
 )
 
+// PlacementMemory is how long after the return of a failure domain requests are
+// looked for where they were placed during its absence.
+const PlacementMemory = time.Hour
+
 // ErrNoShards is returned when the configuration has no failure domain.
 var ErrNoShards = eris.New("no shards are configured")
 
@@ -79,6 +83,17 @@
 	return h.placeAround(name, digest), nil
 }
 
+// Settled reports whether all requests are placed at their first choice: no
+// domain is out of service, or came back less than memory ago.
+func (h *Homes) Settled(now time.Time, memory time.Duration) bool {
+	for _, domain := range h.domains {
+		if domain.Out || now.Sub(domain.BackAt) < memory {
+			return false
+		}
+	}
+	return true
+}
+
 // placeAround ranks all shards for a request whose first choice is out of
 // service or was until lately.
 func (h *Homes) placeAround(name string, digest uint64) Placement {
--- a/sched/move_test.go
+++ b/sched/move_test.go
@@ -113,6 +113,30 @@
 		Expect(t.startedIn(r)).To(Equal([]model.DomainName{"b"}))
 	})
 
+	It("takes no request from an entry instance that may not know of it", func() {
+		t.takeOut(t.home)
+		late := request("late", "batch", time.Millisecond)
+		var reply peer.Reply
+		Eventually(func() result.Code {
+			reply = peer.Reply{}
+			late.Key += "x"
+			late.ID = request(string(late.Key), "batch", 0).ID
+			Expect(t.home.service.Submit(late, &reply)).To(Succeed())
+			return result.Code(reply.Answer.Code)
+		}).WithTimeout(deadline).Should(Equal(result.Busy))
+		Expect(reply.Answer.Ran).To(Equal(model.NotRun))
+	})
+
+	It("does not call a request unknown to an entry instance that knows more", func() {
+		var reply peer.Reply
+		question := peer.AwaitRequest{ID: request("asked", "batch", 0).ID, Team: "t", ConfigVersion: 1}
+		Expect(t.home.service.Await(question, &reply)).To(Succeed())
+		Expect(reply.Answer.Code).To(Equal(code(result.UnknownRequest)))
+		question.ConfigVersion = 2
+		Expect(t.home.service.Await(question, &reply)).To(Succeed())
+		Expect(reply.Answer.Code).To(Equal(code(result.Busy)))
+	})
+
 	It("runs a request once when replies of the other shard are lost", func() {
 		t.wire.lose.Store(3)
 		t.takeOut(t.home)
--- a/sched/requests.go
+++ b/sched/requests.go
@@ -8,6 +8,7 @@
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/routing"
 )
 
 // cancelWait bounds how long the call of a cancellation waits for its answer.
@@ -76,6 +77,9 @@
 	if s.unrecorded() >= s.settings.MaxUnrecorded {
 		return nil, &result.Error{Code: result.StoreUnavailable, Reason: "too much waits to be recorded"}
 	}
+	if m.ConfigVersion < s.config.Version && !s.homes.Settled(s.now, routing.PlacementMemory) {
+		return nil, &result.Error{Code: result.Busy, Reason: "the entry instance may not know yet which domains are in service"}
+	}
 	class, known := s.config.Class(m.Spec.Class)
 	if !known {
 		return nil, s.unknownClass(m)
@@ -127,6 +131,8 @@
 	}
 	r := s.records[m.request.ID]
 	switch {
+	case r == nil && m.request.ConfigVersion > s.config.Version:
+		s.refuse(m.caller, m.request.ID, &result.Error{Code: result.Busy, Reason: "the scheduler's configuration is older than the caller's entry instance's"})
 	case r == nil || r.request.Team != m.request.Team:
 		s.refuse(m.caller, m.request.ID, &result.Error{Code: result.UnknownRequest, Reason: "no such request of this team"})
 	case r.told:
--- a/sched/service.go
+++ b/sched/service.go
@@ -96,6 +96,6 @@
 		reply.Answer.ID = id
 		return reply
 	case <-ctx.Done():
-		return peer.Reply{Answer: result.Answer(id, result.OutcomeUnknown, "the shard's duty gave no reply")}
+		return peer.Reply{Answer: result.Answer(id, result.HomeUnreachable, "the shard's duty gave no reply")}
 	}
 }
