--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -134,11 +133,9 @@
 // process's pages.
 func (p *program) listen() error {
 	s := p.settings
-	admin, err := net.Listen("tcp", s.Gate.Admin)
-	if err != nil {
-		return eris.Wrap(err, "listening for the process's pages")
+	if err := p.process.ServeAdmin(p.settings.Gate.Admin); err != nil {
+		return err
 	}
-	p.process.Group().Serve(serveUntilDone(admin, p.process.AdminServer()))
 	if err := p.listenForCallers(s.Gate.Listen); err != nil {
 		return err
 	}
@@ -170,7 +167,7 @@
 	mux.Handle(operateapi.Root, operateapi.Handler(p.desk))
 	server.Handler = mux
 	p.process.OnDrain(func(ctx context.Context) { httpapi.Drain(ctx, p.front, server, p.settings.Gate.DrainLinger) })
-	p.process.Group().Serve(serveUntilDone(callers, server))
+	p.process.ServeUntilStopped(callers, server)
 	return nil
 }
 
@@ -202,17 +199,3 @@
 	}
 	p.log.Info("gate_started", slog.String("address", p.settings.Gate.Listen))
 }
-
-// serveUntilDone serves until the server is shut down or the process stops.
-// The process's pages stay up while it drains, so that /readyz says so.
-func serveUntilDone(listener net.Listener, server *http.Server) func(context.Context) error {
-	return func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return eris.Wrap(err, "serving HTTP")
-	}
-}
--- a/cmd/hornbeam-sched/serve.go
+++ b/cmd/hornbeam-sched/serve.go
@@ -125,19 +125,9 @@
 
 // listen serves peers and the process's own pages.
 func (p *program) listen() error {
-	admin, err := net.Listen("tcp", p.settings.Sched.Admin)
-	if err != nil {
-		return eris.Wrap(err, "listening for the process's pages")
+	if err := p.process.ServeAdmin(p.settings.Sched.Admin); err != nil {
+		return err
 	}
-	p.process.Group().Serve(func(ctx context.Context) error {
-		server := p.process.AdminServer()
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(admin); err != http.ErrServerClosed {
-			return eris.Wrap(err, "serving the process's pages")
-		}
-		return nil
-	})
 	listener, err := net.Listen("tcp", p.settings.Sched.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
--- /dev/null
+++ b/cmd/internal/daemon/daemon.go
@@ -0,0 +1,89 @@
+// Package daemon is the command line that the daemons share: --settings,
+// --check-settings, --help and --version, and the exit codes.
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/process"
+)
+
+// The exit codes. A daemon that stops gracefully exits with 0.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+	exitOverdue  = 3
+)
+
+// version is set at link time.
+var version = "development"
+
+// Program is one daemon with settings of type S.
+type Program[S any] struct {
+	// Name is the binary's name, LogName the process's name in the log.
+	Name, LogName string
+	// Usage is one line, Description the text of --help.
+	Usage, Description string
+	// Load reads and checks the settings file.
+	Load func(file string) (S, error)
+	// Log returns the settings of the log.
+	Log func(S) logging.Settings
+	// Serve runs the daemon to its end.
+	Serve func(S, *logging.Logger) error
+}
+
+// Main runs the program with the process's arguments and exits on an error.
+func (p Program[S]) Main() {
+	app := &cli.App{
+		Name:        p.Name,
+		Usage:       p.Usage,
+		Description: p.Description,
+		Version:     version,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and stop"},
+		},
+		Action: p.run,
+		ExitErrHandler: func(*cli.Context, error) {
+			// Main reports the error itself.
+		},
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, p.Name+":", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func (p Program[S]) run(c *cli.Context) error {
+	settings, err := p.Load(c.String("settings"))
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	if c.Bool("check-settings") {
+		fmt.Println("settings are sound")
+		return nil
+	}
+	log, err := logging.New(os.Stderr, p.LogName, p.Log(settings), clock.System{})
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	return p.Serve(settings, log)
+}
+
+func exitCode(err error) int {
+	var coded cli.ExitCoder
+	switch {
+	case errors.As(err, &coded):
+		return coded.ExitCode()
+	case errors.Is(err, process.ErrDrainTimeout):
+		return exitOverdue
+	default:
+		return exitFailure
+	}
+}
--- a/process/http.go
+++ b/process/http.go
@@ -18,6 +18,23 @@
 // server takes no new connections and lets every request finish.
 func (p *Process) ServeHTTP(listener net.Listener, server *http.Server) {
 	p.OnDrain(func(ctx context.Context) { _ = server.Shutdown(ctx) })
+	p.ServeUntilStopped(listener, server)
+}
+
+// ServeAdmin serves the process's own pages at the address. They stay up while
+// the process drains, so that /readyz says so.
+func (p *Process) ServeAdmin(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listening for the process's pages")
+	}
+	p.ServeUntilStopped(listener, p.adminServer())
+	return nil
+}
+
+// ServeUntilStopped serves on the listener until the server is shut down or
+// the process stops; what has to happen on drain is the caller's.
+func (p *Process) ServeUntilStopped(listener net.Listener, server *http.Server) {
 	p.group.Serve(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
@@ -29,10 +46,10 @@
 	})
 }
 
-// AdminServer returns the server of the process's own pages: /readyz for the
+// adminServer returns the server of the process's own pages: /readyz for the
 // balancer, /healthz, /debug/vars for metrics and PUT /debug/level?level= for
 // the log level.
-func (p *Process) AdminServer() *http.Server {
+func (p *Process) adminServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", p.readyz)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
