Take the period of Syncs from the scheduler; share a prelude of hornbeamctl

Cause: the capacity page's rate of Syncs repeated the scheduler's default as a number of its own, which would drift; cancel and explain began with the same lines.

Change: capacity reads sched.DefaultSettings; requestAtEntry serves both verbs.

Conclusion: each fact stands once.

--- a/capacity/syncwire.go
+++ b/capacity/syncwire.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamworks/hornbeam/endpoint"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/sched"
 )
 
 // SyncTraffic measures the bytes on the wire of an endpoint that runs the
@@ -20,7 +21,7 @@
 	const reportEvery = 10
 	s := Slope{
 		Name: "Sync traffic", SizeUnit: "Syncs a second", Unit: "bytes/s",
-		Target: syncsAtTarget, Mechanism: "short Syncs in between reports",
+		Target: syncsAtTarget(), Mechanism: "short Syncs in between reports",
 	}
 	short, err := exchangeBytes(endpoint.SyncRequest{}, endpoint.SyncReply{})
 	if err != nil {
@@ -42,7 +43,9 @@
 
 // syncsAtTarget is the rate of Syncs of a busy endpoint with the default
 // settings.
-const syncsAtTarget = float64(time.Second) / float64(150*time.Millisecond)
+func syncsAtTarget() float64 {
+	return float64(time.Second) / float64(sched.DefaultSettings().SyncPeriod)
+}
 
 // exchangeBytes returns the size of a Sync and its reply as HTTP carries them.
 func exchangeBytes(request endpoint.SyncRequest, reply endpoint.SyncReply) (float64, error) {
--- a/cmd/hornbeamctl/caller.go
+++ b/cmd/hornbeamctl/caller.go
@@ -154,15 +154,11 @@
 func cancel(c *cli.Context) error {
 	ctx, stop := context.WithTimeout(c.Context, c.Duration("timeout"))
 	defer stop()
-	id, err := requestArgument(c)
+	id, entry, err := requestAtEntry(c)
 	if err != nil {
 		return err
 	}
-	careful, err := caller(c, 0)
-	if err != nil {
-		return err
-	}
-	answer, err := careful.Entry().Cancel(ctx, id)
+	answer, err := entry.Cancel(ctx, id)
 	if err != nil {
 		return cli.Exit(err.Error(), exitUnknown)
 	}
@@ -172,6 +168,20 @@
 	return showAnswer(c, answer)
 }
 
+// requestAtEntry returns the request that the command names and an entry
+// instance to ask about it once.
+func requestAtEntry(c *cli.Context) (model.RequestID, *client.Client, error) {
+	id, err := requestArgument(c)
+	if err != nil {
+		return "", nil, err
+	}
+	careful, err := caller(c, 0)
+	if err != nil {
+		return "", nil, err
+	}
+	return id, careful.Entry(), nil
+}
+
 // requestArgument returns the one argument of a command.
 func requestArgument(c *cli.Context) (model.RequestID, error) {
 	if c.NArg() != 1 {
--- a/cmd/hornbeamctl/inspect.go
+++ b/cmd/hornbeamctl/inspect.go
@@ -40,15 +40,11 @@
 func explain(c *cli.Context) error {
 	ctx, stop := context.WithTimeout(c.Context, c.Duration("timeout"))
 	defer stop()
-	id, err := requestArgument(c)
+	id, entry, err := requestAtEntry(c)
 	if err != nil {
 		return err
 	}
-	careful, err := caller(c, 0)
-	if err != nil {
-		return err
-	}
-	account, err := careful.Entry().Explain(ctx, id)
+	account, err := entry.Explain(ctx, id)
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailure)
 	}
