--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -21,10 +21,10 @@
 	"github.com/hornbeamworks/hornbeam/operate"
 	operateapi "github.com/hornbeamworks/hornbeam/operate/httpapi"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
-	"github.com/hornbeamworks/hornbeam/platform"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
 	"github.com/hornbeamworks/hornbeam/process"
 	"github.com/hornbeamworks/hornbeam/routing"
+	"github.com/hornbeamworks/hornbeam/storage"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 // program is the process's parts.
@@ -32,7 +32,7 @@
 	settings  *programSettings
 	process   *process.Process
 	log       *logging.Logger
-	table     platform.Table
+	table     storage.Table
 	peers     *peerrpc.Client
 	keeper    *config.Keeper
 	writer    *config.Writer
@@ -68,7 +68,7 @@
 		settings: s,
 		process:  process.New(log, system, s.Gate.DrainTimeout),
 		log:      log,
-		table:    httpplatform.NewTable(s.Platform.Table, &http.Client{}),
+		table:    httpstorage.NewTable(s.Platform.Table, &http.Client{}),
 		peers:    peers,
 	}
 	p.keeper = config.NewKeeper(config.NewView(), p.table, system)
--- a/cmd/hornbeam-sched/serve.go
+++ b/cmd/hornbeam-sched/serve.go
@@ -18,11 +18,11 @@
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/policy/cell"
 	"github.com/hornbeamworks/hornbeam/process"
 	"github.com/hornbeamworks/hornbeam/sched"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 const (
@@ -65,7 +65,7 @@
 	bounds := s.scheduler()
 	platformClient := &http.Client{}
 	endpointClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: endpointConnections * bounds.SyncWorkers}}
-	table := httpplatform.NewTable(s.Platform.Table, platformClient)
+	table := httpstorage.NewTable(s.Platform.Table, platformClient)
 	keeper := config.NewKeeper(config.NewView(), table, system)
 	p := &program{
 		settings: s,
@@ -77,8 +77,8 @@
 	}
 	p.outside = sched.Outside{
 		Table:        table,
-		Objects:      httpplatform.NewObjectStore(s.Platform.Objects, platformClient),
-		Instances:    httpplatform.NewInstanceList(s.Platform.Instances, platformClient),
+		Objects:      httpstorage.NewObjectStore(s.Platform.Objects, platformClient),
+		Instances:    httpstorage.NewInstanceList(s.Platform.Instances, platformClient),
 		Endpoints:    httpendpoint.New(endpointClient),
 		Clock:        system,
 		Log:          log,
--- a/cmd/hornbeamctl/layout.go
+++ b/cmd/hornbeamctl/layout.go
@@ -15,7 +15,7 @@
 	"github.com/hornbeamworks/hornbeam/deployment"
 	"github.com/hornbeamworks/hornbeam/deployment/layout"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 const (
@@ -73,7 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context, initTimeout)
 	defer cancel()
-	table := httpplatform.NewTable(c.String("table"), http.DefaultClient)
+	table := httpstorage.NewTable(c.String("table"), http.DefaultClient)
 	if err := config.Initialise(ctx, table, first); err != nil {
 		return cli.Exit(err.Error(), exitFailure)
 	}
--- a/config/audit.go
+++ b/config/audit.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -45,7 +45,7 @@
 
 // ReadAudit returns at most limit entries of versions above after, in their
 // order.
-func ReadAudit(ctx context.Context, table platform.Table, after model.ConfigVersion, limit int) ([]AuditEntry, error) {
+func ReadAudit(ctx context.Context, table storage.Table, after model.ConfigVersion, limit int) ([]AuditEntry, error) {
 	rows, err := table.List(ctx, auditPrefix, auditKey(after), limit)
 	if err != nil {
 		return nil, eris.Wrap(err, "reading the audit log")
@@ -67,14 +67,14 @@
 
 // auditWrites returns the writes that add the entry and drop the oldest one
 // beyond those kept.
-func auditWrites(entry AuditEntry) ([]platform.Write, error) {
+func auditWrites(entry AuditEntry) ([]storage.Write, error) {
 	raw, err := json.Marshal(entry)
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding the audit entry")
 	}
-	writes := []platform.Write{{Key: auditKey(entry.Version), Value: raw}}
+	writes := []storage.Write{{Key: auditKey(entry.Version), Value: raw}}
 	if entry.Version > firstVersion+auditKept {
-		writes = append(writes, platform.Write{Key: auditKey(entry.Version - auditKept), Delete: true})
+		writes = append(writes, storage.Write{Key: auditKey(entry.Version - auditKept), Delete: true})
 	}
 	return writes, nil
 }
--- a/config/change.go
+++ b/config/change.go
@@ -8,8 +8,8 @@
 	"github.com/hornbeamworks/hornbeam/chart"
 	"github.com/hornbeamworks/hornbeam/charts"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // maxRebase is the largest number of versions that a change may be behind.
@@ -209,15 +209,15 @@
 	if err != nil {
 		return eventNoAnswer
 	}
-	err = a.writer.options.Table.Commit(a.ctx, platform.Txn{
-		Checks: []platform.Check{{Key: HeadKey, Version: a.head.Row}},
+	err = a.writer.options.Table.Commit(a.ctx, storage.Txn{
+		Checks: []storage.Check{{Key: HeadKey, Version: a.head.Row}},
 		Writes: append(writes, audit...),
 	})
 	if err == nil {
 		a.outcome.Version = a.next.Version
 		return eventCommitted
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return eventConflicted
 	}
 	return eventNoAnswer
--- a/config/head.go
+++ b/config/head.go
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // Rows of the table.
@@ -40,12 +40,12 @@
 	// Config is the configuration in force.
 	Config *model.Config
 	// Row is the version of the row HeadKey, which a change checks.
-	Row platform.RowVersion
+	Row storage.RowVersion
 }
 
 // Initialise creates version 1 of the configuration from initial, unless the
 // table has a configuration already.
-func Initialise(ctx context.Context, table platform.Table, initial model.Config) error {
+func Initialise(ctx context.Context, table storage.Table, initial model.Config) error {
 	initial.Version = firstVersion
 	if err := Check(&initial); err != nil {
 		return err
@@ -54,9 +54,9 @@
 	if err != nil {
 		return err
 	}
-	checks := []platform.Check{{Key: HeadKey}, {Key: VersionKey}}
-	err = table.Commit(ctx, platform.Txn{Checks: checks, Writes: writes})
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	checks := []storage.Check{{Key: HeadKey}, {Key: VersionKey}}
+	err = table.Commit(ctx, storage.Txn{Checks: checks, Writes: writes})
+	if err == nil || errors.Is(err, storage.ErrConflict) {
 		return nil
 	}
 	// The reply may be lost after the write: the row says.
@@ -66,9 +66,9 @@
 	return eris.Wrap(err, "creating the first configuration")
 }
 
-// ReadHead returns the configuration in force. It returns platform.ErrNotFound
+// ReadHead returns the configuration in force. It returns storage.ErrNotFound
 // when there is none yet.
-func ReadHead(ctx context.Context, table platform.Table) (Head, error) {
+func ReadHead(ctx context.Context, table storage.Table) (Head, error) {
 	row, err := table.Get(ctx, HeadKey)
 	if err != nil {
 		return Head{}, eris.Wrap(err, "reading the configuration")
@@ -81,8 +81,8 @@
 }
 
 // ReadVersion returns the number of the version in force, or
-// platform.ErrNotFound.
-func ReadVersion(ctx context.Context, table platform.Table) (model.ConfigVersion, error) {
+// storage.ErrNotFound.
+func ReadVersion(ctx context.Context, table storage.Table) (model.ConfigVersion, error) {
 	row, err := table.Get(ctx, VersionKey)
 	if err != nil {
 		return 0, eris.Wrap(err, "reading the configuration's version")
@@ -115,13 +115,13 @@
 }
 
 // headWrites returns the writes that put config in force.
-func headWrites(config *model.Config) ([]platform.Write, error) {
+func headWrites(config *model.Config) ([]storage.Write, error) {
 	raw, err := Encode(config)
 	if err != nil {
 		return nil, err
 	}
 	number := strconv.FormatUint(uint64(config.Version), 10)
-	return []platform.Write{
+	return []storage.Write{
 		{Key: HeadKey, Value: raw},
 		{Key: VersionKey, Value: []byte(number)},
 	}, nil
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -6,7 +6,7 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -39,7 +39,7 @@
 }
 
 // NewKeeper returns the duties that keep view up to date from table.
-func NewKeeper(view *View, table platform.Table, clock clock.Clock) *Keeper {
+func NewKeeper(view *View, table storage.Table, clock clock.Clock) *Keeper {
 	k := &Keeper{view: view}
 	k.keep = duty.New("config", keeperRing, duty.HandlerFunc[news](k.handle))
 	r := &reader{table: table, clock: clock, view: view, tell: k.keep.Offer}
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -11,7 +11,7 @@
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // generous is reached only by a failure.
@@ -44,7 +44,7 @@
 	c := sample(version)
 	writes, err := config.HeadWrites(&c)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(t.Commit(context.Background(), platform.Txn{Writes: writes})).To(Succeed())
+	Expect(t.Commit(context.Background(), storage.Txn{Writes: writes})).To(Succeed())
 }
 
 var _ = Describe("Keeper", func() {
@@ -150,7 +150,7 @@
 	It("reports a table that is down", func() {
 		rows := newTable()
 		rows.set(func(t *table) { t.down = true })
-		Expect(config.Initialise(ctx, rows, sample(0))).To(MatchError(platform.ErrUnavailable))
+		Expect(config.Initialise(ctx, rows, sample(0))).To(MatchError(storage.ErrUnavailable))
 	})
 })
 
--- a/config/reader.go
+++ b/config/reader.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/clock"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // reader polls the table on a thread of its own, since its reads block.
 type reader struct {
-	table platform.Table
+	table storage.Table
 	clock clock.Clock
 	view  *View
 	tell  func(news) bool
--- a/config/table_test.go
+++ b/config/table_test.go
@@ -6,14 +6,14 @@
 	"strings"
 	"sync"
 
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // table is a small table in memory whose service fails on demand.
 type table struct {
 	// mu guards the rest: duties and the test use the table at once.
 	mu         sync.Mutex
-	rows       map[string]platform.Row
+	rows       map[string]storage.Row
 	down       bool
 	loseReply  int
 	loseCommit int
@@ -23,7 +23,7 @@
 	before func()
 }
 
-func newTable() *table { return &table{rows: map[string]platform.Row{}} }
+func newTable() *table { return &table{rows: map[string]storage.Row{}} }
 
 // set changes the table's faults under its lock.
 func (t *table) set(change func(*table)) {
@@ -32,27 +32,27 @@
 	change(t)
 }
 
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.gets++
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *table) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *table) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
-	var found []platform.Row
+	var found []storage.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			found = append(found, row)
@@ -62,21 +62,21 @@
 	return found[:min(limit, len(found))], nil
 }
 
-func (t *table) Commit(_ context.Context, txn platform.Txn) error {
+func (t *table) Commit(_ context.Context, txn storage.Txn) error {
 	t.runBefore()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
 	if t.down {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	if t.loseCommit > 0 {
 		t.loseCommit--
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	for _, check := range txn.Checks {
 		if t.rows[check.Key].Version != check.Version {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 	}
 	for _, write := range txn.Writes {
@@ -84,7 +84,7 @@
 	}
 	if t.loseReply > 0 {
 		t.loseReply--
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
@@ -99,10 +99,10 @@
 	}
 }
 
-func (t *table) write(w platform.Write) {
+func (t *table) write(w storage.Write) {
 	if w.Delete {
 		delete(t.rows, w.Key)
 		return
 	}
-	t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+	t.rows[w.Key] = storage.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
 }
--- a/config/writer.go
+++ b/config/writer.go
@@ -9,8 +9,8 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -38,7 +38,7 @@
 // WriterOptions are what a Writer is made of.
 type WriterOptions struct {
 	// Table holds the configuration.
-	Table platform.Table
+	Table storage.Table
 	// Clock is the process's clock.
 	Clock clock.Clock
 	// Keeper is asked to read the table after an accepted change; it may be nil.
--- a/escrow/bench_test.go
+++ b/escrow/bench_test.go
@@ -8,8 +8,8 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/escrow"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // BenchmarkRound measures one look of a shard at the ledger of six shards, with
@@ -18,7 +18,7 @@
 	for _, teams := range []int{6, 18, 36, 71} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			now := clock.NewManual(time.Unix(1000, 0))
-			rows := &table{rows: map[string]platform.Row{}}
+			rows := &table{rows: map[string]storage.Row{}}
 			current := &model.Config{Version: 1}
 			for i := range 6 {
 				domain := model.DomainName(fmt.Sprintf("domain-%d", i))
@@ -30,7 +30,7 @@
 			}
 			parts := map[model.TeamName]model.Resources{}
 			e := escrow.New(escrow.Options{
-				Shard: model.ShardID{Domain: "domain-0"}, Epoch: platform.Check{Key: "epoch"},
+				Shard: model.ShardID{Domain: "domain-0"}, Epoch: storage.Check{Key: "epoch"},
 				Table: rows, Clock: now, Config: func() *model.Config { return current },
 				SetPart: func(team model.TeamName, part model.Resources) bool {
 					parts[team] = part
--- a/escrow/escrow.go
+++ b/escrow/escrow.go
@@ -10,8 +10,8 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -31,9 +31,9 @@
 	Shard model.ShardID
 	// Epoch is the condition that the shard is still held: the key and version
 	// of its epoch row. Every write checks it.
-	Epoch platform.Check
+	Epoch storage.Check
 	// Table holds the ledger.
-	Table platform.Table
+	Table storage.Table
 	// Config returns the configuration in force, or nil: a config.View's Current.
 	Config func() *model.Config
 	// Clock is the process's clock.
@@ -52,12 +52,12 @@
 
 	// The fields below belong to the duty.
 	ledger  Ledger
-	version platform.RowVersion
+	version storage.RowVersion
 	read    bool
 	// doubt is the base of a write whose outcome is not known. Until the row has
 	// a newer version that write may still take effect, and caps holds the
 	// smallest parts that the ledger may then show.
-	doubt  platform.RowVersion
+	doubt  storage.RowVersion
 	caps   map[model.TeamName]model.Resources
 	latest map[model.TeamName]policy.Standing
 	told   map[model.TeamName]model.Resources
@@ -136,7 +136,7 @@
 		if err == nil && stamp.Version == e.version {
 			return nil
 		}
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, storage.ErrNotFound) {
 			return eris.Wrap(err, "reading the ledger's stamp")
 		}
 	}
@@ -149,7 +149,7 @@
 }
 
 // take replaces the known ledger. A newer version settles what was in doubt.
-func (e *Escrow) take(ledger Ledger, version platform.RowVersion) {
+func (e *Escrow) take(ledger Ledger, version storage.RowVersion) {
 	e.ledger, e.version, e.read = ledger, version, true
 	if version > e.doubt {
 		clear(e.caps)
@@ -215,16 +215,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
 	defer cancel()
-	err = e.options.Table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{e.options.Epoch, {Key: LedgerKey, Version: e.version}},
-		Writes: []platform.Write{{Key: LedgerKey, Value: raw}, {Key: StampKey}},
+	err = e.options.Table.Commit(ctx, storage.Txn{
+		Checks: []storage.Check{e.options.Epoch, {Key: LedgerKey, Version: e.version}},
+		Writes: []storage.Write{{Key: LedgerKey, Value: raw}, {Key: StampKey}},
 	})
 	if err == nil {
 		e.take(next, e.version+1)
 		return nil
 	}
 	e.read = false
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, storage.ErrConflict) {
 		e.doubtful(&next)
 	}
 	return eris.Wrap(err, "writing the ledger")
--- a/escrow/ledger.go
+++ b/escrow/ledger.go
@@ -22,7 +22,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // Rows of the table.
@@ -70,9 +70,9 @@
 
 // Read returns the ledger and the version of its row; an empty ledger and
 // version 0 when there is none yet.
-func Read(ctx context.Context, table platform.Table) (Ledger, platform.RowVersion, error) {
+func Read(ctx context.Context, table storage.Table) (Ledger, storage.RowVersion, error) {
 	row, err := table.Get(ctx, LedgerKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Ledger{}, 0, nil
 	}
 	if err != nil {
--- a/escrow/world_test.go
+++ b/escrow/world_test.go
@@ -9,20 +9,20 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/escrow"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const team model.TeamName = "north"
 
 // table is a table whose commits are lost, held back or refused on demand.
 type table struct {
-	rows map[string]platform.Row
+	rows map[string]storage.Row
 	// fault is what happens to the next commit.
 	fault fault
 	down  bool
 	// held are commits that are still on their way.
-	held    []platform.Txn
+	held    []storage.Txn
 	commits int
 	bytes   int
 }
@@ -36,48 +36,48 @@
 	holdBack  fault = "hold back"
 )
 
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (storage.Row, error) {
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *table) List(context.Context, string, string, int) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (t *table) List(context.Context, string, string, int) ([]storage.Row, error) {
+	return nil, storage.ErrUnavailable
 }
 
-func (t *table) Commit(_ context.Context, txn platform.Txn) error {
+func (t *table) Commit(_ context.Context, txn storage.Txn) error {
 	met := t.fault
 	t.fault = ""
 	if t.down || met == loseWrite {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	if met == holdBack {
 		t.held = append(t.held, txn)
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	err := t.apply(txn)
 	if met == loseReply {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return err
 }
 
-func (t *table) apply(txn platform.Txn) error {
+func (t *table) apply(txn storage.Txn) error {
 	for _, check := range txn.Checks {
 		if t.rows[check.Key].Version != check.Version {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 	}
 	t.commits++
 	for _, w := range txn.Writes {
 		t.bytes += len(w.Value)
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+		t.rows[w.Key] = storage.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
 	}
 	return nil
 }
@@ -116,7 +116,7 @@
 func newWorld(limit model.Resources, shards int) *world {
 	w := &world{
 		clock:   clock.NewManual(time.Unix(1000, 0)),
-		table:   &table{rows: map[string]platform.Row{}},
+		table:   &table{rows: map[string]storage.Row{}},
 		limits:  []model.Resources{limit},
 		running: map[model.ShardID]model.Resources{},
 	}
@@ -145,11 +145,11 @@
 func (w *world) takeOver(shard model.ShardID) {
 	key := "shard/" + shard.String() + "/epoch"
 	row := w.table.rows[key]
-	w.table.rows[key] = platform.Row{Key: key, Version: row.Version + 1}
+	w.table.rows[key] = storage.Row{Key: key, Version: row.Version + 1}
 	h := &holder{shard: shard, heard: len(w.limits) - 1}
 	h.escrow = escrow.New(escrow.Options{
 		Shard: shard,
-		Epoch: platform.Check{Key: key, Version: row.Version + 1},
+		Epoch: storage.Check{Key: key, Version: row.Version + 1},
 		Table: w.table, Clock: w.clock,
 		Config: func() *model.Config { return w.config(h.heard) },
 		SetPart: func(_ model.TeamName, part model.Resources) bool {
--- a/integration/harness/observe.go
+++ b/integration/harness/observe.go
@@ -13,8 +13,8 @@
 
 	"github.com/hornbeamworks/hornbeam/audit"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
 	"github.com/hornbeamworks/hornbeam/standin"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 // holderPoll is the time between two looks at the lease row.
@@ -95,7 +95,7 @@
 
 // Endpoint returns the id of a domain's worker by its place.
 func (c *Cluster) Endpoint(at, worker int) model.EndpointID {
-	list := httpplatform.NewInstanceList("http://"+c.site, http.DefaultClient)
+	list := httpstorage.NewInstanceList("http://"+c.site, http.DefaultClient)
 	infos, err := list.Endpoints(context.Background(), model.DomainName(c.Domains[at].Name))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return infos[worker].ID
--- a/integration/harness/settings.go
+++ b/integration/harness/settings.go
@@ -13,8 +13,8 @@
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/deployment"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
 	"github.com/hornbeamworks/hornbeam/standin"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 func (c *Cluster) startStandin() {
@@ -68,8 +68,8 @@
 }
 
 // Table returns the platform's table, past all proxies.
-func (c *Cluster) Table() *httpplatform.Table {
-	return httpplatform.NewTable("http://"+c.site, http.DefaultClient)
+func (c *Cluster) Table() *httpstorage.Table {
+	return httpstorage.NewTable("http://"+c.site, http.DefaultClient)
 }
 
 // secret returns the key of the team.
--- a/membership/inforce_test.go
+++ b/membership/inforce_test.go
@@ -15,9 +15,9 @@
 	"github.com/hornbeamworks/hornbeam/membership"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/result"
 	"github.com/hornbeamworks/hornbeam/standin"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // office is some processes with real duties and a real clock that call one
@@ -58,9 +58,9 @@
 }
 
 // Get reads the shared table and counts it, unless the process is cut off.
-func (p *officeProcess) Get(ctx context.Context, key string) (platform.Row, error) {
+func (p *officeProcess) Get(ctx context.Context, key string) (storage.Row, error) {
 	if p.offline.Load() {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, err := p.office.table.Client().Get(ctx, key)
 	p.office.reads.Add(1)
@@ -69,12 +69,12 @@
 }
 
 // List is not used by a keeper.
-func (p *officeProcess) List(context.Context, string, string, int) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (p *officeProcess) List(context.Context, string, string, int) ([]storage.Row, error) {
+	return nil, storage.ErrUnavailable
 }
 
 // Commit is not used by a keeper.
-func (p *officeProcess) Commit(context.Context, platform.Txn) error { return platform.ErrUnavailable }
+func (p *officeProcess) Commit(context.Context, storage.Txn) error { return storage.ErrUnavailable }
 
 // openOffice starts size processes and returns them with what ends them.
 func openOffice(size int) (*office, func()) {
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -17,8 +17,8 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/membership"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -39,7 +39,7 @@
 	// Writer makes changes.
 	Writer *config.Writer
 	// Table holds the audit log and the ledger of the teams' limits.
-	Table platform.Table
+	Table storage.Table
 	// Members returns the processes that are known; nil when the process does
 	// not hear of others.
 	Members func() []membership.Status
--- a/operate/show.go
+++ b/operate/show.go
@@ -7,8 +7,8 @@
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/escrow"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // readTimeout bounds one read of the table.
@@ -172,7 +172,7 @@
 
 // LedgerUsage returns what the teams have running by the ledger in the table,
 // for the writer's check of lowered limits.
-func LedgerUsage(table platform.Table) func(ctx context.Context) (config.Usage, error) {
+func LedgerUsage(table storage.Table) func(ctx context.Context) (config.Usage, error) {
 	return func(ctx context.Context) (config.Usage, error) {
 		ledger, _, err := escrow.Read(ctx, table)
 		if err != nil {
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -16,12 +16,12 @@
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/policy/cell"
 	"github.com/hornbeamworks/hornbeam/result"
 	"github.com/hornbeamworks/hornbeam/sched"
 	"github.com/hornbeamworks/hornbeam/standin"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // deadline is generous: it is reached only by a failure.
@@ -121,7 +121,7 @@
 	return w.startWith(testSettings(), w.table.Client(), w.fleet.Client())
 }
 
-func (w *world) startWith(settings sched.Settings, table platform.Table, endpoints endpoint.Endpoint) *member {
+func (w *world) startWith(settings sched.Settings, table storage.Table, endpoints endpoint.Endpoint) *member {
 	return w.startShard(home, settings, sched.Outside{Table: table, Endpoints: endpoints})
 }
 
--- a/sched/daemon.go
+++ b/sched/daemon.go
@@ -6,12 +6,12 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/endpoint"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -29,11 +29,11 @@
 // Outside is all that a scheduler reaches.
 type Outside struct {
 	// Table is the platform's table.
-	Table platform.Table
+	Table storage.Table
 	// Objects is the platform's object store.
-	Objects platform.ObjectStore
+	Objects storage.ObjectStore
 	// Instances is the platform's instance list.
-	Instances platform.InstanceList
+	Instances storage.InstanceList
 	// Endpoints reaches the endpoints.
 	Endpoints endpoint.Endpoint
 	// Clock is the process's clock.
@@ -119,8 +119,8 @@
 }
 
 func (d *Daemon) addJournal(ports *Ports, instance model.InstanceID, settings Settings, out Outside) {
-	snapshots := journal.NewSnapshotter(d.name("snap"), d.id, settings.Journal.Timeout, out.Table, out.Objects)
-	writer := journal.NewWriter(d.id, instance, settings.Journal, out.Table, out.Objects, out.Clock, journalEvents{d.post}, snapshots)
+	snapshots := shardjournal.NewSnapshotter(d.name("snap"), d.id, settings.Journal.Timeout, out.Table, out.Objects)
+	writer := shardjournal.NewWriter(d.id, instance, settings.Journal, out.Table, out.Objects, out.Clock, journalEvents{d.post}, snapshots)
 	journalDuty := duty.New(d.name("journal"), journalRing, writer)
 	ports.Journal = journalDuty.Offer
 	d.others = append(d.others, journalDuty, snapshots.Duty())
--- a/sched/faults_test.go
+++ b/sched/faults_test.go
@@ -11,12 +11,12 @@
 	"github.com/hornbeamworks/hornbeam/endpoint"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // link is the way of one process to the outside, with faults.
 type link struct {
-	table platform.Table
+	table storage.Table
 	inner endpoint.Endpoint
 
 	// mu guards the faults: tests set them while duties send.
@@ -41,23 +41,23 @@
 	change(l)
 }
 
-func (l *link) Get(ctx context.Context, key string) (platform.Row, error) {
+func (l *link) Get(ctx context.Context, key string) (storage.Row, error) {
 	if l.tableIsCut() {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	return l.table.Get(ctx, key)
 }
 
-func (l *link) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (l *link) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if l.tableIsCut() {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return l.table.List(ctx, prefix, after, limit)
 }
 
-func (l *link) Commit(ctx context.Context, txn platform.Txn) error {
+func (l *link) Commit(ctx context.Context, txn storage.Txn) error {
 	if l.tableIsCut() {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return l.table.Commit(ctx, txn)
 }
--- a/sched/gone_test.go
+++ b/sched/gone_test.go
@@ -6,13 +6,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hornbeamworks/hornbeam/journal"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 var _ = Describe("A take-over", func() {
 	DescribeTable("waits for what the former holder may still reach",
 		func(answering int, least, most time.Duration) {
-			r := takingOver(4, answering, journal.NewImage())
+			r := takingOver(4, answering, shardjournal.NewImage())
 			begin := r.clock.Now()
 			for !r.shard.serving() && r.clock.Now().Sub(begin) <= most {
 				r.turn()
@@ -26,7 +26,7 @@
 	)
 
 	It("never starts work without a majority while the list names the others", func() {
-		r := takingOver(4, 2, journal.NewImage())
+		r := takingOver(4, 2, shardjournal.NewImage())
 		all := r.shard.members
 		for range 20 {
 			r.shard.Handle([]Message{listed{all}})
--- a/sched/holder.go
+++ b/sched/holder.go
@@ -6,10 +6,10 @@
 
 	"github.com/hornbeamworks/hornbeam/chart"
 	"github.com/hornbeamworks/hornbeam/charts"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // holderChart is the chart of a shard in one process, with its events and
@@ -155,7 +155,7 @@
 		s.policy.SetConfig(s.now, s.config)
 	}
 	s.policy.SetFleet(s.fleetKnown())
-	s.ports.Journal(journal.Open{Epoch: s.epoch})
+	s.ports.Journal(shardjournal.Open{Epoch: s.epoch})
 }
 
 // load takes what the journal remembers and begins to adopt the endpoints.
@@ -174,7 +174,7 @@
 }
 
 // restore makes the record of a request that a former holder accepted.
-func (s *Shard) restore(remembered *journal.Record) {
+func (s *Shard) restore(remembered *shardjournal.Record) {
 	r := s.newRecord(remembered.Request)
 	r.former = true
 	// A start of work that may run again is not on record, so that nobody
@@ -232,7 +232,7 @@
 }
 
 func (s *Shard) forgetEpoch() {
-	s.ports.Journal(journal.Close{})
+	s.ports.Journal(shardjournal.Close{})
 	s.ports.Parts(stopServing{})
 	s.records, s.active, s.attempts, s.sessions = nil, nil, nil, nil
 	s.policy, s.proof, s.image = nil, nil, nil
--- a/sched/instances.go
+++ b/sched/instances.go
@@ -6,8 +6,8 @@
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -21,7 +21,7 @@
 // instancesDuty is the handler of the duty that polls the instance list.
 type instancesDuty struct {
 	id       model.ShardID
-	list     platform.InstanceList
+	list     storage.InstanceList
 	clock    clock.Clock
 	period   time.Duration
 	timeout  time.Duration
--- a/sched/members.go
+++ b/sched/members.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/routing"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // proposeMembers puts a change of the shard's endpoints on record. Work starts
@@ -34,7 +34,7 @@
 	}
 	s.proposed = desired
 	s.proof.SetMembers(ids(s.members), ids(desired))
-	s.append(journal.Entry{Members: &journal.Members{Endpoints: desired}}, membersDurable{})
+	s.append(shardjournal.Entry{Members: &shardjournal.Members{Endpoints: desired}}, membersDurable{})
 }
 
 // recorded is what the record says of the endpoint.
@@ -82,7 +82,7 @@
 		shards += domain.Shards
 	}
 	if budget := s.settings.JournalBudget; budget > 0 && shards > 0 {
-		s.ports.Journal(journal.Pace(time.Second * time.Duration(shards) / time.Duration(budget)))
+		s.ports.Journal(shardjournal.Pace(time.Second * time.Duration(shards) / time.Duration(budget)))
 	}
 }
 
--- a/sched/messages.go
+++ b/sched/messages.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/endpoint"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // Message is a message to the shard duty.
@@ -60,7 +60,7 @@
 	// replayed hands over what the journal remembers.
 	replayed struct {
 		epoch model.Epoch
-		image *journal.Image
+		image *shardjournal.Image
 	}
 	// durable says that entries are on record.
 	durable struct {
--- a/sched/move.go
+++ b/sched/move.go
@@ -4,10 +4,10 @@
 	"expvar"
 	"time"
 
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 const (
@@ -80,7 +80,7 @@
 
 func (r *record) recordMove() {
 	requestsMoved.Add(1)
-	entry := journal.Entry{Moved: &journal.Moved{Request: r.request.ID, To: r.movedTo}}
+	entry := shardjournal.Entry{Moved: &shardjournal.Moved{Request: r.request.ID, To: r.movedTo}}
 	r.shard.append(entry, movedDurable{r})
 }
 
--- a/sched/onrecord.go
+++ b/sched/onrecord.go
@@ -1,8 +1,8 @@
 package sched
 
 import (
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // onRecord is what follows once the entry with the number is on record.
@@ -47,10 +47,10 @@
 	}
 }
 
-// append puts an entry on its way to the journal.
-func (s *Shard) append(entry journal.Entry, then consequence) {
+// append puts an entry on its way to the shardjournal.
+func (s *Shard) append(entry shardjournal.Entry, then consequence) {
 	s.appended++
-	s.unsent = append(s.unsent, journal.Append{Epoch: s.epoch, Entry: entry})
+	s.unsent = append(s.unsent, shardjournal.Append{Epoch: s.epoch, Entry: entry})
 	s.onRecord = append(s.onRecord, onRecord{s.appended, then})
 }
 
--- a/sched/parts.go
+++ b/sched/parts.go
@@ -8,9 +8,9 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/escrow"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const (
@@ -38,7 +38,7 @@
 // shard is held.
 type partsDuty struct {
 	id       model.ShardID
-	table    platform.Table
+	table    storage.Table
 	clock    clock.Clock
 	config   func() *model.Config
 	start    func(...duty.Runner)
@@ -94,7 +94,7 @@
 	p.epoch = epoch
 	p.escrow = escrow.New(escrow.Options{
 		Shard:  p.id,
-		Epoch:  platform.Check{Key: shard.EpochKey(p.id), Version: platform.RowVersion(epoch)},
+		Epoch:  storage.Check{Key: shard.EpochKey(p.id), Version: storage.RowVersion(epoch)},
 		Table:  p.table,
 		Config: p.config,
 		Clock:  p.clock,
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -4,9 +4,9 @@
 	"slices"
 
 	"github.com/hornbeamworks/hornbeam/endpoint"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/policy"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // attempt is one attempt that this holder has decided on or inherited.
@@ -64,8 +64,8 @@
 		session.enqueue(a)
 		return
 	}
-	intent := journal.Intent{Attempt: start.Attempt, Endpoint: start.Endpoint}
-	s.append(journal.Entry{Intent: &intent}, intentDurable{a})
+	intent := shardjournal.Intent{Attempt: start.Attempt, Endpoint: start.Endpoint}
+	s.append(shardjournal.Entry{Intent: &intent}, intentDurable{a})
 }
 
 // track keeps the attempt until its fate is known.
@@ -136,7 +136,7 @@
 // that it need not answer "unknown".
 func (s *Shard) recordWithdrawal(a *attempt) {
 	if a.record.request.Spec.NotRepeatable && a.record.answer == nil {
-		s.append(journal.Entry{Withdrawn: &a.start.Attempt}, nothing{})
+		s.append(shardjournal.Entry{Withdrawn: &a.start.Attempt}, nothing{})
 	}
 }
 
@@ -208,8 +208,8 @@
 	if !r.addPart(part) || r.request.Spec.Tasks <= 1 {
 		return
 	}
-	done := journal.Done{Request: r.request.ID, Part: part}
-	s.append(journal.Entry{Done: &done}, partDurable{settled})
+	done := shardjournal.Done{Request: r.request.ID, Part: part}
+	s.append(shardjournal.Entry{Done: &done}, partDurable{settled})
 }
 
 // acknowledge lets the endpoint forget an attempt.
--- a/sched/record.go
+++ b/sched/record.go
@@ -6,10 +6,10 @@
 
 	"github.com/hornbeamworks/hornbeam/chart"
 	"github.com/hornbeamworks/hornbeam/charts"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // record is a request in its home shard. Its life cycle is the chart request.
@@ -67,7 +67,7 @@
 
 // inheritance is what a former holder has left of a request.
 type inheritance struct {
-	intents []journal.Intent
+	intents []shardjournal.Intent
 	running []policy.Start
 }
 
@@ -156,12 +156,12 @@
 }
 
 func (r *record) recordAcceptance() {
-	r.shard.append(journal.Entry{Accepted: r.request}, acceptedDurable{r})
+	r.shard.append(shardjournal.Entry{Accepted: r.request}, acceptedDurable{r})
 }
 
 func (r *record) recordAnswer() {
 	r.answeredAt = r.shard.now
-	entry := journal.Entry{Answered: &journal.Answered{Answer: *r.answer, At: r.answeredAt.Round(0)}}
+	entry := shardjournal.Entry{Answered: &shardjournal.Answered{Answer: *r.answer, At: r.answeredAt.Round(0)}}
 	r.shard.append(entry, answerDurable{r})
 }
 
--- a/sched/settings.go
+++ b/sched/settings.go
@@ -10,8 +10,8 @@
 import (
 	"time"
 
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // Settings are the times and bounds of a scheduler.
@@ -19,7 +19,7 @@
 	// Lease is the lease of a shard at the table.
 	Lease shard.LeaseSettings
 	// Journal is the journal of a shard.
-	Journal journal.Settings
+	Journal shardjournal.Settings
 	// JournalBudget is the number of journal rows a second that all shards of
 	// the system may write together. Each shard's pace follows from it and from
 	// the number of shards; 0 leaves the pace as it is set.
@@ -67,7 +67,7 @@
 			Poll:    150 * time.Millisecond,
 			Timeout: 700 * time.Millisecond,
 		},
-		Journal: journal.Settings{
+		Journal: shardjournal.Settings{
 			Pace:         150 * time.Millisecond,
 			RowEntries:   1024,
 			SnapshotRows: 512,
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -7,7 +7,6 @@
 
 	"github.com/hornbeamworks/hornbeam/chart"
 	"github.com/hornbeamworks/hornbeam/clock"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
@@ -15,6 +14,7 @@
 	"github.com/hornbeamworks/hornbeam/result"
 	"github.com/hornbeamworks/hornbeam/routing"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 const (
@@ -41,7 +41,7 @@
 // reports false when its ring is full, and the shard duty tries again.
 type Ports struct {
 	// Journal takes entries.
-	Journal func(journal.Message) bool
+	Journal func(shardjournal.Message) bool
 	// Resign asks the lease duty to hand the shard back.
 	Resign func() bool
 	// Parts takes the teams' standings.
@@ -85,12 +85,12 @@
 	active   map[model.RequestID]*record
 	attempts map[model.AttemptID]*attempt
 	sessions map[model.EndpointID]*session
-	image    *journal.Image
+	image    *shardjournal.Image
 	members  []model.EndpointInfo
 	proposed []model.EndpointInfo
 	appended uint64
 	durable  uint64
-	unsent   []journal.Append
+	unsent   []shardjournal.Append
 	onRecord []onRecord
 	storeUp  bool
 	// asking are the shards that are being asked about moved requests.
--- a/sched/throughput_test.go
+++ b/sched/throughput_test.go
@@ -7,19 +7,19 @@
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/endpoint"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
 	"github.com/hornbeamworks/hornbeam/policy"
 	"github.com/hornbeamworks/hornbeam/policy/cell"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 // rig drives a Shard without threads: it answers Syncs and the journal itself.
 type rig struct {
 	shard   *Shard
 	clock   *clock.Manual
-	entries []journal.Message
+	entries []shardjournal.Message
 	jobs    []syncJob
 	stamp   int64
 	running map[model.EndpointID][]endpoint.Start
@@ -41,7 +41,7 @@
 }
 
 // newRig returns a rig whose shard serves.
-func newRig(endpoints int, image *journal.Image) *rig {
+func newRig(endpoints int, image *shardjournal.Image) *rig {
 	r := takingOver(endpoints, endpoints, image)
 	for !r.shard.serving() {
 		r.turn()
@@ -50,14 +50,14 @@
 	return r
 }
 
-// takingOver returns a rig whose shard has read its journal. The instance list
+// takingOver returns a rig whose shard has read its shardjournal. The instance list
 // names the first endpoints only, and the others give no answer.
-func takingOver(endpoints, answering int, image *journal.Image) *rig {
+func takingOver(endpoints, answering int, image *shardjournal.Image) *rig {
 	r := &rig{silent: map[model.EndpointID]bool{}, clock: clock.NewManual(time.Unix(1000, 0)), running: map[model.EndpointID][]endpoint.Start{}}
 	settings := DefaultSettings()
 	settings.MaxOpen, settings.MaxUnrecorded, settings.MaxWaiters = 1<<30, 1<<30, 1<<30
 	ports := Ports{
-		Journal: func(m journal.Message) bool { r.entries = append(r.entries, m); return true },
+		Journal: func(m shardjournal.Message) bool { r.entries = append(r.entries, m); return true },
 		Resign:  func() bool { return true },
 		Parts:   func(partsMessage) bool { r.stood++; return true },
 	}
@@ -134,7 +134,7 @@
 // plan, start, finish, answer.
 func BenchmarkShard(b *testing.B) {
 	const endpoints, eachTurn = 64, 16
-	r := newRig(endpoints, journal.NewImage())
+	r := newRig(endpoints, shardjournal.NewImage())
 	b.ReportAllocs()
 	b.ResetTimer()
 	done := answersGiven.Value()
@@ -170,11 +170,11 @@
 }
 
 // openImage is the image of a journal with the number of open requests.
-func openImage(open int) *journal.Image {
-	image := journal.NewImage()
+func openImage(open int) *shardjournal.Image {
+	image := shardjournal.NewImage()
 	for i := range open {
 		id := model.RequestID(fmt.Sprintf("0-%d-a", i))
-		image.Apply(journal.Entry{Accepted: &model.Request{
+		image.Apply(shardjournal.Entry{Accepted: &model.Request{
 			ID: id, Team: "t", Accepted: time.Unix(1000, 0), Deadline: time.Unix(1_000_000, 0),
 			Spec: model.Spec{Class: "c", Kind: model.Batch, Tasks: 1, Size: model.Resources{500, 256, 0, 1, 1}, Estimate: time.Second},
 		}})
--- a/sched/withdraw_test.go
+++ b/sched/withdraw_test.go
@@ -6,12 +6,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hornbeamworks/hornbeam/journal"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 )
 
 var _ = Describe("A drain", func() {
 	It("withdraws starts that can't be sent, so that the successor need not answer unknown", func() {
-		r := newRig(1, journal.NewImage())
+		r := newRig(1, shardjournal.NewImage())
 		once := benchSubmit(r.clock, 1)
 		once.request.Spec.NotRepeatable = true
 		for r.shard.sessions["a000"].inflight {
@@ -28,7 +28,7 @@
 		r.shard.Handle(nil)
 		var withdrawn []string
 		for _, m := range r.entries {
-			if entry, ok := m.(journal.Append); ok && entry.Entry.Withdrawn != nil {
+			if entry, ok := m.(shardjournal.Append); ok && entry.Entry.Withdrawn != nil {
 				withdrawn = append(withdrawn, entry.Entry.Withdrawn.String())
 			}
 		}
--- a/shard/lease.go
+++ b/shard/lease.go
@@ -8,7 +8,7 @@
 	"github.com/hornbeamworks/hornbeam/chart"
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // driftDivisor is the part of the lease that a holder gives up for clocks that
@@ -48,7 +48,7 @@
 	id       model.ShardID
 	self     LeaseRow
 	settings LeaseSettings
-	table    platform.Table
+	table    storage.Table
 	clock    clock.Clock
 	listener Listener
 
@@ -58,8 +58,8 @@
 	next    chart.Event
 	pending bool
 
-	rowVersion   platform.RowVersion
-	epochVersion platform.RowVersion
+	rowVersion   storage.RowVersion
+	epochVersion storage.RowVersion
 	// standsSince is when the row was first seen with rowVersion, without a
 	// failed read since; zero when it has not been seen.
 	standsSince time.Time
@@ -69,7 +69,7 @@
 
 // NewLease returns a candidate for the shard. instance and address name this
 // process in the row.
-func NewLease(id model.ShardID, instance model.InstanceID, address string, settings LeaseSettings, table platform.Table, source clock.Clock, listener Listener) *Lease {
+func NewLease(id model.ShardID, instance model.InstanceID, address string, settings LeaseSettings, table storage.Table, source clock.Clock, listener Listener) *Lease {
 	l := &Lease{
 		id:       id,
 		self:     LeaseRow{Holder: instance, Address: address, Lease: settings.Lease},
@@ -152,7 +152,7 @@
 }
 
 // noteFree reads the epoch that a take-over must follow.
-func (l *Lease) noteFree(version platform.RowVersion) {
+func (l *Lease) noteFree(version storage.RowVersion) {
 	epoch, err := l.getVersion(EpochKey(l.id))
 	if err != nil {
 		l.forgetRow()
@@ -165,12 +165,12 @@
 
 func (l *Lease) commitEpoch() {
 	l.sentAt = l.clock.Now()
-	err := l.commit(platform.Txn{
-		Checks: []platform.Check{
+	err := l.commit(storage.Txn{
+		Checks: []storage.Check{
 			{Key: EpochKey(l.id), Version: l.epochVersion},
 			{Key: LeaseKey(l.id), Version: l.rowVersion},
 		},
-		Writes: []platform.Write{
+		Writes: []storage.Write{
 			{Key: EpochKey(l.id), Value: Encode(EpochRow{Holder: l.self.Holder})},
 			{Key: LeaseKey(l.id), Value: Encode(l.self)},
 		},
@@ -181,7 +181,7 @@
 // readEpoch settles a take-over whose reply was lost.
 func (l *Lease) readEpoch() {
 	row, err := l.get(EpochKey(l.id))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return
 	}
 	content, err := Decode[EpochRow](row.Value)
@@ -206,9 +206,9 @@
 
 // write sets the lease row if the epoch still stands.
 func (l *Lease) write(row LeaseRow) error {
-	return l.commit(platform.Txn{
-		Checks: []platform.Check{{Key: EpochKey(l.id), Version: l.epochVersion + 1}},
-		Writes: []platform.Write{{Key: LeaseKey(l.id), Value: Encode(row)}},
+	return l.commit(storage.Txn{
+		Checks: []storage.Check{{Key: EpochKey(l.id), Version: l.epochVersion + 1}},
+		Writes: []storage.Write{{Key: LeaseKey(l.id), Value: Encode(row)}},
 	})
 }
 
@@ -217,7 +217,7 @@
 		l.then(done)
 		return
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		l.then(l.chart.conflict)
 		return
 	}
@@ -232,9 +232,9 @@
 	}
 }
 
-func (l *Lease) getLease() (LeaseRow, platform.RowVersion, error) {
+func (l *Lease) getLease() (LeaseRow, storage.RowVersion, error) {
 	row, err := l.get(LeaseKey(l.id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return LeaseRow{}, 0, nil
 	}
 	if err != nil {
@@ -244,21 +244,21 @@
 	return content, row.Version, err
 }
 
-func (l *Lease) getVersion(key string) (platform.RowVersion, error) {
+func (l *Lease) getVersion(key string) (storage.RowVersion, error) {
 	row, err := l.get(key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return 0, nil
 	}
 	return row.Version, err
 }
 
-func (l *Lease) get(key string) (platform.Row, error) {
+func (l *Lease) get(key string) (storage.Row, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), l.settings.Timeout)
 	defer cancel()
 	return l.table.Get(ctx, key)
 }
 
-func (l *Lease) commit(txn platform.Txn) error {
+func (l *Lease) commit(txn storage.Txn) error {
 	ctx, cancel := context.WithTimeout(context.Background(), l.settings.Timeout)
 	defer cancel()
 	return l.table.Commit(ctx, txn)
--- a/shard/lease_test.go
+++ b/shard/lease_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 var id = model.ShardID{Domain: "a"}
@@ -22,7 +22,7 @@
 
 // rows is a table in memory that fails as it is told to.
 type rows struct {
-	kept map[string]platform.Row
+	kept map[string]storage.Row
 	// down lets every call fail without effect; loseReplies lets commits take
 	// effect and their replies be lost.
 	down        bool
@@ -30,39 +30,39 @@
 	commits     int
 }
 
-func newRows() *rows { return &rows{kept: map[string]platform.Row{}} }
+func newRows() *rows { return &rows{kept: map[string]storage.Row{}} }
 
-func (r *rows) Get(_ context.Context, key string) (platform.Row, error) {
+func (r *rows) Get(_ context.Context, key string) (storage.Row, error) {
 	if r.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	row, found := r.kept[key]
 	if !found {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return row, nil
 }
 
-func (r *rows) List(context.Context, string, string, int) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (r *rows) List(context.Context, string, string, int) ([]storage.Row, error) {
+	return nil, storage.ErrUnavailable
 }
 
-func (r *rows) Commit(_ context.Context, txn platform.Txn) error {
+func (r *rows) Commit(_ context.Context, txn storage.Txn) error {
 	if r.down {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	for _, c := range txn.Checks {
 		if r.kept[c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 	}
 	r.commits++
 	for _, w := range txn.Writes {
-		r.kept[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: r.kept[w.Key].Version + 1}
+		r.kept[w.Key] = storage.Row{Key: w.Key, Value: w.Value, Version: r.kept[w.Key].Version + 1}
 	}
 	if r.loseReplies > 0 {
 		r.loseReplies--
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
@@ -83,7 +83,7 @@
 func (c *candidate) Released()                               { c.epoch, c.released = 0, c.released+1 }
 func (c *candidate) Seen(holder shard.LeaseRow)              { c.holder = holder }
 
-func join(name model.InstanceID, table platform.Table, source clock.Clock) *candidate {
+func join(name model.InstanceID, table storage.Table, source clock.Clock) *candidate {
 	c := &candidate{}
 	c.lease = shard.NewLease(id, name, string(name)+":1", settings, table, source, c)
 	return c
--- a/journal/entry.go
+++ b/shardjournal/entry.go
@@ -1,10 +1,10 @@
-// Package journal keeps what a shard must remember in the platform's table:
+// Package shardjournal keeps what a shard must remember in the platform's table:
 // entries of a period form one row, and old rows become a snapshot in the
 // object store.
 //
 // Every write checks that the shard's epoch still stands, so a former holder
 // can't write. A write whose reply was lost is settled by reading its row.
-package journal
+package shardjournal
 
 import (
 	"time"
--- a/journal/image.go
+++ b/shardjournal/image.go
@@ -1,4 +1,4 @@
-package journal
+package shardjournal
 
 import (
 	"slices"
--- a/journal/rows.go
+++ b/shardjournal/rows.go
@@ -1,4 +1,4 @@
-package journal
+package shardjournal
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // listRows is the number of rows read in one call of the table.
@@ -48,7 +48,7 @@
 
 // Replay reads the whole journal of the shard: its image and the sequence of
 // its last row.
-func Replay(ctx context.Context, table platform.Table, objects platform.ObjectStore, id model.ShardID) (*Image, Sequence, error) {
+func Replay(ctx context.Context, table storage.Table, objects storage.ObjectStore, id model.ShardID) (*Image, Sequence, error) {
 	pointer, err := readPointer(ctx, table, id)
 	if err != nil {
 		return nil, 0, err
@@ -61,10 +61,10 @@
 	return image, last, err
 }
 
-func readPointer(ctx context.Context, table platform.Table, id model.ShardID) (Pointer, error) {
+func readPointer(ctx context.Context, table storage.Table, id model.ShardID) (Pointer, error) {
 	var pointer Pointer
 	row, err := table.Get(ctx, PointerKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return pointer, nil
 	}
 	if err != nil {
@@ -74,7 +74,7 @@
 	return pointer, eris.Wrap(err, "pointer to the snapshot")
 }
 
-func readSnapshot(ctx context.Context, objects platform.ObjectStore, pointer Pointer) (*Image, error) {
+func readSnapshot(ctx context.Context, objects storage.ObjectStore, pointer Pointer) (*Image, error) {
 	image := NewImage()
 	if pointer.Object == "" {
 		return image, nil
@@ -87,7 +87,7 @@
 	return image, eris.Wrapf(err, "snapshot %s", pointer.Object)
 }
 
-func replayRows(ctx context.Context, table platform.Table, id model.ShardID, through Sequence, image *Image) (Sequence, error) {
+func replayRows(ctx context.Context, table storage.Table, id model.ShardID, through Sequence, image *Image) (Sequence, error) {
 	last, after := through, RowKey(id, through)
 	for {
 		rows, err := table.List(ctx, rowPrefix(id), after, listRows)
@@ -107,7 +107,7 @@
 	}
 }
 
-func applyRow(row platform.Row, image *Image) error {
+func applyRow(row storage.Row, image *Image) error {
 	var content Row
 	if err := json.Unmarshal(row.Value, &content); err != nil {
 		return eris.Wrapf(err, "journal row %s", row.Key)
--- a/journal/snapshotter.go
+++ b/shardjournal/snapshotter.go
@@ -1,4 +1,4 @@
-package journal
+package shardjournal
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // snapshotRing holds the one snapshot that waits while another is written. A
@@ -28,14 +28,14 @@
 type Snapshotter struct {
 	id      model.ShardID
 	timeout time.Duration
-	table   platform.Table
-	objects platform.ObjectStore
+	table   storage.Table
+	objects storage.ObjectStore
 	duty    *duty.Duty[Save]
 }
 
 // NewSnapshotter returns the duty that stores the shard's snapshots. timeout
 // bounds each call of the platform.
-func NewSnapshotter(name string, id model.ShardID, timeout time.Duration, table platform.Table, objects platform.ObjectStore) *Snapshotter {
+func NewSnapshotter(name string, id model.ShardID, timeout time.Duration, table storage.Table, objects storage.ObjectStore) *Snapshotter {
 	s := &Snapshotter{id: id, timeout: timeout, table: table, objects: objects}
 	s.duty = duty.New(name, snapshotRing, s)
 	return s
@@ -92,9 +92,9 @@
 func (s *Snapshotter) point(ctx context.Context, save Save, name string) error {
 	// A pointer holds a string and a number, which always encode.
 	value, _ := json.Marshal(Pointer{Object: name, Through: save.through})
-	return s.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{s.epochCheck(save)},
-		Writes: []platform.Write{{Key: PointerKey(s.id), Value: value}},
+	return s.table.Commit(ctx, storage.Txn{
+		Checks: []storage.Check{s.epochCheck(save)},
+		Writes: []storage.Write{{Key: PointerKey(s.id), Value: value}},
 	})
 }
 
@@ -106,10 +106,10 @@
 		if err != nil {
 			return
 		}
-		txn := platform.Txn{Checks: []platform.Check{s.epochCheck(save)}}
+		txn := storage.Txn{Checks: []storage.Check{s.epochCheck(save)}}
 		for _, row := range rows {
 			if row.Key <= end {
-				txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+				txn.Writes = append(txn.Writes, storage.Write{Key: row.Key, Delete: true})
 			}
 		}
 		if len(txn.Writes) == 0 || s.table.Commit(ctx, txn) != nil {
@@ -118,6 +118,6 @@
 	}
 }
 
-func (s *Snapshotter) epochCheck(save Save) platform.Check {
-	return platform.Check{Key: shard.EpochKey(s.id), Version: platform.RowVersion(save.epoch)}
+func (s *Snapshotter) epochCheck(save Save) storage.Check {
+	return storage.Check{Key: shard.EpochKey(s.id), Version: storage.RowVersion(save.epoch)}
 }
--- a/journal/suite_test.go
+++ b/shardjournal/suite_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardjournal_test
 
 import (
 	"testing"
--- a/journal/writer.go
+++ b/shardjournal/writer.go
@@ -1,4 +1,4 @@
-package journal
+package shardjournal
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // Settings are the pace and the bounds of a journal.
@@ -75,8 +75,8 @@
 	id        model.ShardID
 	self      model.InstanceID
 	settings  Settings
-	table     platform.Table
-	objects   platform.ObjectStore
+	table     storage.Table
+	objects   storage.ObjectStore
 	clock     clock.Clock
 	listener  Listener
 	snapshots *Snapshotter
@@ -102,7 +102,7 @@
 
 // NewWriter returns a closed journal. snapshots may be nil: then no snapshots
 // are made.
-func NewWriter(id model.ShardID, self model.InstanceID, settings Settings, table platform.Table, objects platform.ObjectStore, source clock.Clock, listener Listener, snapshots *Snapshotter) *Writer {
+func NewWriter(id model.ShardID, self model.InstanceID, settings Settings, table storage.Table, objects storage.ObjectStore, source clock.Clock, listener Listener, snapshots *Snapshotter) *Writer {
 	w := &Writer{
 		id:        id,
 		self:      self,
@@ -218,18 +218,18 @@
 	key := RowKey(w.id, w.last+1)
 	ctx, cancel := context.WithTimeout(context.Background(), w.settings.Timeout)
 	defer cancel()
-	err := w.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{
+	err := w.table.Commit(ctx, storage.Txn{
+		Checks: []storage.Check{
 			{Key: key},
-			{Key: shard.EpochKey(w.id), Version: platform.RowVersion(w.epoch)},
+			{Key: shard.EpochKey(w.id), Version: storage.RowVersion(w.epoch)},
 		},
-		Writes: []platform.Write{{Key: key, Value: w.rowBytes}},
+		Writes: []storage.Write{{Key: key, Value: w.rowBytes}},
 	})
 	written.Add(1)
 	switch {
 	case err == nil:
 		w.then(w.chart.committed)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		w.then(w.chart.conflict)
 	default:
 		w.then(w.chart.unsure)
@@ -246,14 +246,14 @@
 		w.then(w.chart.committed)
 		return
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return
 	}
 	epoch, err := w.table.Get(ctx, shard.EpochKey(w.id))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return
 	}
-	if epoch.Version != platform.RowVersion(w.epoch) {
+	if epoch.Version != storage.RowVersion(w.epoch) {
 		w.then(w.chart.fenced)
 		return
 	}
--- a/journal/writer_test.go
+++ b/shardjournal/writer_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package shardjournal_test
 
 import (
 	"context"
@@ -10,34 +10,34 @@
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
-	"github.com/hornbeamworks/hornbeam/journal"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/shard"
+	"github.com/hornbeamworks/hornbeam/shardjournal"
 	"github.com/hornbeamworks/hornbeam/standin"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 const deadline = 30 * time.Second
 
 var id = model.ShardID{Domain: "a"}
 
-var settings = journal.Settings{
+var settings = shardjournal.Settings{
 	Pace: 100 * time.Millisecond, RowEntries: 8, SnapshotRows: 4, Retention: time.Minute,
 	Timeout: time.Second, Retry: 50 * time.Millisecond, DownAfter: 300 * time.Millisecond,
 }
 
 // heard is what a journal has told.
 type heard struct {
-	image    *journal.Image
+	image    *shardjournal.Image
 	durable  uint64
 	storeUp  []bool
 	fencings int
 }
 
-func (h *heard) Replayed(_ model.Epoch, image *journal.Image) { h.image = image }
-func (h *heard) Durable(_ model.Epoch, number uint64)         { h.durable = number }
-func (h *heard) Store(_ model.Epoch, up bool)                 { h.storeUp = append(h.storeUp, up) }
-func (h *heard) Fenced(model.Epoch)                           { h.fencings++ }
+func (h *heard) Replayed(_ model.Epoch, image *shardjournal.Image) { h.image = image }
+func (h *heard) Durable(_ model.Epoch, number uint64)              { h.durable = number }
+func (h *heard) Store(_ model.Epoch, up bool)                      { h.storeUp = append(h.storeUp, up) }
+func (h *heard) Fenced(model.Epoch)                                { h.fencings++ }
 
 // bench is a table, an object store and a clock.
 type bench struct {
@@ -45,7 +45,7 @@
 	clock   *clock.Manual
 	table   *standin.Table
 	objects *standin.ObjectStore
-	snaps   *journal.Snapshotter
+	snaps   *shardjournal.Snapshotter
 }
 
 func newBench() *bench {
@@ -53,7 +53,7 @@
 		ctx: context.Background(), clock: clock.NewManual(time.Unix(1000, 0)),
 		table: standin.NewTable(standin.TableOptions{}), objects: standin.NewObjectStore(),
 	}
-	b.snaps = journal.NewSnapshotter("snap", id, time.Second, b.table.Client(), b.objects.Client())
+	b.snaps = shardjournal.NewSnapshotter("snap", id, time.Second, b.table.Client(), b.objects.Client())
 	group := duty.NewGroup(b.ctx)
 	runners := []duty.Runner{b.table.Duty(), b.objects.Duty(), b.snaps.Duty()}
 	group.Start(runners...)
@@ -69,18 +69,18 @@
 // takeEpoch writes the epoch row once more and returns its version.
 func (b *bench) takeEpoch() model.Epoch {
 	table := b.table.Client()
-	Expect(table.Commit(b.ctx, platform.Txn{Writes: []platform.Write{{Key: shard.EpochKey(id), Value: []byte("{}")}}})).To(Succeed())
+	Expect(table.Commit(b.ctx, storage.Txn{Writes: []storage.Write{{Key: shard.EpochKey(id), Value: []byte("{}")}}})).To(Succeed())
 	row, err := table.Get(b.ctx, shard.EpochKey(id))
 	Expect(err).NotTo(HaveOccurred())
 	return model.Epoch(row.Version)
 }
 
 // open starts a writer under a new epoch.
-func (b *bench) open(name model.InstanceID) (*journal.Writer, *heard, model.Epoch) {
+func (b *bench) open(name model.InstanceID) (*shardjournal.Writer, *heard, model.Epoch) {
 	h := &heard{}
-	w := journal.NewWriter(id, name, settings, b.table.Client(), b.objects.Client(), b.clock, h, b.snaps)
+	w := shardjournal.NewWriter(id, name, settings, b.table.Client(), b.objects.Client(), b.clock, h, b.snaps)
 	epoch := b.takeEpoch()
-	w.Handle([]journal.Message{journal.Open{Epoch: epoch}})
+	w.Handle([]shardjournal.Message{shardjournal.Open{Epoch: epoch}})
 	return w, h, epoch
 }
 
@@ -95,18 +95,18 @@
 func name(i int) model.RequestID { return model.RequestID(fmt.Sprintf("0-%d-a", i)) }
 
 // accept returns the messages that accept n requests from the first on.
-func accept(epoch model.Epoch, first, n int) []journal.Message {
-	var messages []journal.Message
+func accept(epoch model.Epoch, first, n int) []shardjournal.Message {
+	var messages []shardjournal.Message
 	for i := first; i < first+n; i++ {
 		request := &model.Request{ID: name(i), Team: "t", Spec: model.Spec{Class: "c"}}
-		messages = append(messages, journal.Append{Epoch: epoch, Entry: journal.Entry{Accepted: request}})
+		messages = append(messages, shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Accepted: request}})
 	}
 	return messages
 }
 
 // replay returns what a successor would read.
-func (b *bench) replay() *journal.Image {
-	image, _, err := journal.Replay(b.ctx, b.table.Client(), b.objects.Client(), id)
+func (b *bench) replay() *shardjournal.Image {
+	image, _, err := shardjournal.Replay(b.ctx, b.table.Client(), b.objects.Client(), id)
 	Expect(err).NotTo(HaveOccurred())
 	return image
 }
@@ -184,20 +184,20 @@
 			w.Handle(accept(epoch, i, 1))
 			b.clock.Advance(settings.Pace)
 		}
-		answered := journal.Answered{Answer: model.Answer{ID: name(0), Code: 100, Parts: []model.Part{{Output: "x"}}}, At: b.clock.Now()}
-		members := journal.Members{Endpoints: []model.EndpointInfo{{ID: "a1"}}}
-		w.Handle([]journal.Message{
-			journal.Append{Epoch: epoch, Entry: journal.Entry{Answered: &answered}},
-			journal.Append{Epoch: epoch, Entry: journal.Entry{Members: &members}},
-			journal.Append{Epoch: epoch, Entry: journal.Entry{Intent: &journal.Intent{Attempt: model.AttemptID{Task: model.TaskID{Request: name(1)}, Number: 1}, Endpoint: "a1"}}},
-			journal.Append{Epoch: epoch, Entry: journal.Entry{Done: &journal.Done{Request: name(2), Part: model.Part{Output: "y"}}}},
+		answered := shardjournal.Answered{Answer: model.Answer{ID: name(0), Code: 100, Parts: []model.Part{{Output: "x"}}}, At: b.clock.Now()}
+		members := shardjournal.Members{Endpoints: []model.EndpointInfo{{ID: "a1"}}}
+		w.Handle([]shardjournal.Message{
+			shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Answered: &answered}},
+			shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Members: &members}},
+			shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Intent: &shardjournal.Intent{Attempt: model.AttemptID{Task: model.TaskID{Request: name(1)}, Number: 1}, Endpoint: "a1"}}},
+			shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Done: &shardjournal.Done{Request: name(2), Part: model.Part{Output: "y"}}}},
 		})
 		Expect(h.durable).To(Equal(uint64(3*settings.SnapshotRows + 6)))
 		// A snapshot that the snapshotter was too busy for is made with the next
 		// row, so rows go on.
 		Eventually(func() int {
 			b.clock.Advance(settings.Pace)
-			w.Handle([]journal.Message{journal.Append{Epoch: epoch, Entry: journal.Entry{Members: &members}}})
+			w.Handle([]shardjournal.Message{shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Members: &members}}})
 			rows, err := b.table.Client().List(b.ctx, "journal/", "", 1000)
 			Expect(err).NotTo(HaveOccurred())
 			return len(rows)
@@ -215,8 +215,8 @@
 		w, _, epoch := b.open("one")
 		attempt := model.AttemptID{Task: model.TaskID{Request: name(0)}, Number: 1}
 		w.Handle(append(accept(epoch, 0, 1),
-			journal.Append{Epoch: epoch, Entry: journal.Entry{Intent: &journal.Intent{Attempt: attempt, Endpoint: "a1"}}},
-			journal.Append{Epoch: epoch, Entry: journal.Entry{Withdrawn: &attempt}}))
+			shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Intent: &shardjournal.Intent{Attempt: attempt, Endpoint: "a1"}}},
+			shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Withdrawn: &attempt}}))
 		Expect(b.replay().Records[name(0)].Intents).To(BeEmpty())
 	})
 
@@ -224,8 +224,8 @@
 		w, _, epoch := b.open("one")
 		w.Handle(accept(epoch, 0, 2))
 		b.clock.Advance(settings.Pace)
-		answered := journal.Answered{Answer: model.Answer{ID: name(0), Code: 100}, At: b.clock.Now()}
-		w.Handle([]journal.Message{journal.Append{Epoch: epoch, Entry: journal.Entry{Answered: &answered}}})
+		answered := shardjournal.Answered{Answer: model.Answer{ID: name(0), Code: 100}, At: b.clock.Now()}
+		w.Handle([]shardjournal.Message{shardjournal.Append{Epoch: epoch, Entry: shardjournal.Entry{Answered: &answered}}})
 		b.clock.Advance(2 * settings.Retention)
 		_, successor, _ := b.open("two")
 		Expect(successor.image.Records).To(HaveLen(1))
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/endpoint"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // FleetOptions are the properties of a fleet; zero values mean no lag, no
@@ -64,7 +64,7 @@
 func (f *Fleet) Client() endpoint.Endpoint { return fleetClient{f} }
 
 // List returns the lagging instance list.
-func (f *Fleet) List() platform.InstanceList { return listClient{f} }
+func (f *Fleet) List() storage.InstanceList { return listClient{f} }
 
 // Do lets the event happen to the named endpoints, or to all endpoints of the
 // domain when none is named.
@@ -100,7 +100,7 @@
 // listClient is the list of the fleet's endpoints.
 type listClient struct{ fleet *Fleet }
 
-// Endpoints implements platform.InstanceList.
+// Endpoints implements storage.InstanceList.
 func (c listClient) Endpoints(ctx context.Context, domain model.DomainName) ([]model.EndpointInfo, error) {
 	reply := make(chan []model.EndpointInfo, 1)
 	infos, ok := ask[fleetMessage](ctx, c.fleet.duty, listEndpoints{domain, reply}, reply)
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/duty"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // ObjectFaults are the faults of an object store as last set.
@@ -73,7 +73,7 @@
 func (s *ObjectStore) Duty() duty.Runner { return s.duty }
 
 // Client returns the store as its callers see it.
-func (s *ObjectStore) Client() platform.ObjectStore { return objectClient{s} }
+func (s *ObjectStore) Client() storage.ObjectStore { return objectClient{s} }
 
 // SetFaults replaces the faults in force.
 func (s *ObjectStore) SetFaults(ctx context.Context, faults ObjectFaults) error {
@@ -86,7 +86,7 @@
 	content, found := s.objects[m.name]
 	r := s.admit()
 	if r.err == nil && !found {
-		r.err = eris.Wrap(platform.ErrNotFound, m.name)
+		r.err = eris.Wrap(storage.ErrNotFound, m.name)
 	}
 	if r.err == nil {
 		r.content = content
@@ -118,7 +118,7 @@
 func (s *objectState) admit() objectReply {
 	r := objectReply{delay: millis(s.faults.DelayMS)}
 	if s.faults.Outage {
-		r.err = eris.Wrap(platform.ErrUnavailable, "outage")
+		r.err = eris.Wrap(storage.ErrUnavailable, "outage")
 	}
 	return r
 }
@@ -126,21 +126,21 @@
 // objectClient is the store seen by its callers.
 type objectClient struct{ store *ObjectStore }
 
-// Put implements platform.ObjectStore.
+// Put implements storage.ObjectStore.
 func (c objectClient) Put(ctx context.Context, name string, content []byte) error {
 	reply := make(chan objectReply, 1)
 	_, err := c.call(ctx, objectPut{name, slices.Clone(content), reply}, reply)
 	return err
 }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (c objectClient) Get(ctx context.Context, name string) ([]byte, error) {
 	reply := make(chan objectReply, 1)
 	r, err := c.call(ctx, objectGet{name, reply}, reply)
 	return slices.Clone(r.content), err
 }
 
-// Delete implements platform.ObjectStore.
+// Delete implements storage.ObjectStore.
 func (c objectClient) Delete(ctx context.Context, name string) error {
 	reply := make(chan objectReply, 1)
 	_, err := c.call(ctx, objectDelete{name, reply}, reply)
--- a/standin/server.go
+++ b/standin/server.go
@@ -11,8 +11,8 @@
 	"github.com/hornbeamworks/hornbeam/endpoint"
 	"github.com/hornbeamworks/hornbeam/endpoint/httpendpoint"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
+	"github.com/hornbeamworks/hornbeam/storage"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 // maxBodyBytes bounds what is read of one request.
@@ -40,7 +40,7 @@
 		s.routeObjects(mux)
 	}
 	if s.Fleet != nil {
-		mux.HandleFunc("GET "+httpplatform.InstancesPath, s.instances)
+		mux.HandleFunc("GET "+httpstorage.InstancesPath, s.instances)
 		mux.HandleFunc("POST /endpoints/{id}/sync", s.sync)
 	}
 	s.routeAdmin(mux)
@@ -49,39 +49,39 @@
 
 func (s *Server) routeTable(mux *http.ServeMux) {
 	table := s.Table.Client()
-	mux.HandleFunc("POST "+httpplatform.GetPath, func(w http.ResponseWriter, r *http.Request) {
-		var request httpplatform.GetRequest
+	mux.HandleFunc("POST "+httpstorage.GetPath, func(w http.ResponseWriter, r *http.Request) {
+		var request httpstorage.GetRequest
 		if !read(w, r, &request) {
 			return
 		}
 		row, err := table.Get(r.Context(), request.Key)
-		reply(w, httpplatform.Status(err), row, err)
+		reply(w, httpstorage.Status(err), row, err)
 	})
-	mux.HandleFunc("POST "+httpplatform.ListPath, func(w http.ResponseWriter, r *http.Request) {
-		var request httpplatform.ListRequest
+	mux.HandleFunc("POST "+httpstorage.ListPath, func(w http.ResponseWriter, r *http.Request) {
+		var request httpstorage.ListRequest
 		if !read(w, r, &request) {
 			return
 		}
 		rows, err := table.List(r.Context(), request.Prefix, request.After, request.Limit)
-		reply(w, httpplatform.Status(err), httpplatform.ListReply{Rows: rows}, err)
+		reply(w, httpstorage.Status(err), httpstorage.ListReply{Rows: rows}, err)
 	})
-	mux.HandleFunc("POST "+httpplatform.CommitPath, func(w http.ResponseWriter, r *http.Request) {
-		var txn platform.Txn
+	mux.HandleFunc("POST "+httpstorage.CommitPath, func(w http.ResponseWriter, r *http.Request) {
+		var txn storage.Txn
 		if !read(w, r, &txn) {
 			return
 		}
 		err := table.Commit(r.Context(), txn)
-		reply(w, httpplatform.Status(err), struct{}{}, err)
+		reply(w, httpstorage.Status(err), struct{}{}, err)
 	})
 }
 
 func (s *Server) routeObjects(mux *http.ServeMux) {
 	objects := s.Objects.Client()
-	path := httpplatform.ObjectsPath + "{name}"
+	path := httpstorage.ObjectsPath + "{name}"
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
 		content, err := objects.Get(r.Context(), r.PathValue("name"))
 		if err != nil {
-			reply(w, httpplatform.Status(err), nil, err)
+			reply(w, httpstorage.Status(err), nil, err)
 			return
 		}
 		_, _ = w.Write(content)
@@ -93,18 +93,18 @@
 			return
 		}
 		err = objects.Put(r.Context(), r.PathValue("name"), content)
-		reply(w, httpplatform.Status(err), struct{}{}, err)
+		reply(w, httpstorage.Status(err), struct{}{}, err)
 	})
 	mux.HandleFunc("DELETE "+path, func(w http.ResponseWriter, r *http.Request) {
 		err := objects.Delete(r.Context(), r.PathValue("name"))
-		reply(w, httpplatform.Status(err), struct{}{}, err)
+		reply(w, httpstorage.Status(err), struct{}{}, err)
 	})
 }
 
 func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
-	domain := model.DomainName(r.URL.Query().Get(httpplatform.DomainParameter))
+	domain := model.DomainName(r.URL.Query().Get(httpstorage.DomainParameter))
 	infos, err := s.Fleet.List().Endpoints(r.Context(), domain)
-	reply(w, httpplatform.Status(err), httpplatform.InstancesReply{Endpoints: infos}, err)
+	reply(w, httpstorage.Status(err), httpstorage.InstancesReply{Endpoints: infos}, err)
 }
 
 func (s *Server) sync(w http.ResponseWriter, r *http.Request) {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -14,9 +14,9 @@
 	"github.com/hornbeamworks/hornbeam/endpoint"
 	"github.com/hornbeamworks/hornbeam/endpoint/httpendpoint"
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
-	"github.com/hornbeamworks/hornbeam/platform/httpplatform"
 	"github.com/hornbeamworks/hornbeam/standin"
+	"github.com/hornbeamworks/hornbeam/storage"
+	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
 const (
@@ -33,9 +33,9 @@
 	fleet   *standin.Fleet
 	info    model.EndpointInfo
 
-	remoteTable    platform.Table
-	remoteObjects  platform.ObjectStore
-	remoteList     platform.InstanceList
+	remoteTable    storage.Table
+	remoteObjects  storage.ObjectStore
+	remoteList     storage.InstanceList
 	remoteEndpoint endpoint.Endpoint
 }
 
@@ -55,9 +55,9 @@
 	server := standin.Server{Table: b.table, Objects: b.objects, Fleet: b.fleet}
 	site := httptest.NewServer(server.Handler())
 	b.info.Address = strings.TrimPrefix(site.URL, "http://")
-	b.remoteTable = httpplatform.NewTable(site.URL, site.Client())
-	b.remoteObjects = httpplatform.NewObjectStore(site.URL, site.Client())
-	b.remoteList = httpplatform.NewInstanceList(site.URL, site.Client())
+	b.remoteTable = httpstorage.NewTable(site.URL, site.Client())
+	b.remoteObjects = httpstorage.NewObjectStore(site.URL, site.Client())
+	b.remoteList = httpstorage.NewInstanceList(site.URL, site.Client())
 	b.remoteEndpoint = httpendpoint.New(site.Client())
 	DeferCleanup(func() {
 		site.Close()
@@ -69,8 +69,8 @@
 	return b
 }
 
-func put(key, value string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func put(key, value string) storage.Txn {
+	return storage.Txn{Writes: []storage.Write{{Key: key, Value: []byte(value)}}}
 }
 
 var _ = Describe("Table", func() {
@@ -78,10 +78,10 @@
 		b := newBench()
 		Expect(b.remoteTable.Commit(ctx, put("x/1", "one"))).To(Succeed())
 		both := put("x/2", "two")
-		both.Checks = []platform.Check{{Key: "x/1", Version: 1}, {Key: "x/2", Version: 7}}
-		Expect(b.remoteTable.Commit(ctx, both)).To(MatchError(platform.ErrConflict))
+		both.Checks = []storage.Check{{Key: "x/1", Version: 1}, {Key: "x/2", Version: 7}}
+		Expect(b.remoteTable.Commit(ctx, both)).To(MatchError(storage.ErrConflict))
 		_, err := b.remoteTable.Get(ctx, "x/2")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(storage.ErrNotFound))
 	})
 
 	It("lists a prefix in order, in pages", func(ctx SpecContext) {
@@ -102,20 +102,20 @@
 		b := newBench()
 		Expect(b.remoteTable.Commit(ctx, put("x", "1"))).To(Succeed())
 		Expect(b.remoteTable.Commit(ctx, put("x", "2"))).To(Succeed())
-		gone := platform.Txn{Writes: []platform.Write{{Key: "x", Delete: true}}}
+		gone := storage.Txn{Writes: []storage.Write{{Key: "x", Delete: true}}}
 		Expect(b.remoteTable.Commit(ctx, gone)).To(Succeed())
 		fresh := put("x", "3")
-		fresh.Checks = []platform.Check{{Key: "x", Version: 0}}
+		fresh.Checks = []storage.Check{{Key: "x", Version: 0}}
 		Expect(b.remoteTable.Commit(ctx, fresh)).To(Succeed())
 		row, err := b.remoteTable.Get(ctx, "x")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(row.Version).To(Equal(platform.RowVersion(3)))
+		Expect(row.Version).To(Equal(storage.RowVersion(3)))
 	})
 
 	It("loses a reply after the commit took effect", func(ctx SpecContext) {
 		b := newBench()
 		Expect(b.table.SetFaults(ctx, standin.TableFaults{LoseReplies: 1})).To(Succeed())
-		Expect(b.remoteTable.Commit(ctx, put("x", "1"))).To(MatchError(platform.ErrUnavailable))
+		Expect(b.remoteTable.Commit(ctx, put("x", "1"))).To(MatchError(storage.ErrUnavailable))
 		row, err := b.remoteTable.Get(ctx, "x")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(row.Value)).To(Equal("1"))
@@ -125,10 +125,10 @@
 	It("does nothing in an outage", func(ctx SpecContext) {
 		b := newBench()
 		Expect(b.table.SetFaults(ctx, standin.TableFaults{Outage: true})).To(Succeed())
-		Expect(b.remoteTable.Commit(ctx, put("x", "1"))).To(MatchError(platform.ErrUnavailable))
+		Expect(b.remoteTable.Commit(ctx, put("x", "1"))).To(MatchError(storage.ErrUnavailable))
 		Expect(b.table.SetFaults(ctx, standin.TableFaults{})).To(Succeed())
 		_, err := b.remoteTable.Get(ctx, "x")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(storage.ErrNotFound))
 	})
 })
 
@@ -140,7 +140,7 @@
 		Expect(b.remoteObjects.Delete(ctx, "snapshot/a/0")).To(Succeed())
 		Expect(b.remoteObjects.Delete(ctx, "snapshot/a/0")).To(Succeed())
 		_, err := b.remoteObjects.Get(ctx, "snapshot/a/0")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(storage.ErrNotFound))
 	})
 })
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // TableOptions are the properties of a table; zero values mean no limit, no
@@ -79,7 +79,7 @@
 func (t *Table) Duty() duty.Runner { return t.duty }
 
 // Client returns the table as its callers see it.
-func (t *Table) Client() platform.Table { return tableClient{t} }
+func (t *Table) Client() storage.Table { return tableClient{t} }
 
 // SetFaults replaces the faults in force.
 func (t *Table) SetFaults(ctx context.Context, faults TableFaults) error {
@@ -104,7 +104,7 @@
 
 func answered(ok bool) error {
 	if !ok {
-		return eris.Wrap(platform.ErrUnavailable, "stand-in gave no answer")
+		return eris.Wrap(storage.ErrUnavailable, "stand-in gave no answer")
 	}
 	return nil
 }
@@ -112,25 +112,25 @@
 // tableClient is the table seen by its callers, faults included.
 type tableClient struct{ table *Table }
 
-// Get implements platform.Table.
-func (c tableClient) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (c tableClient) Get(ctx context.Context, key string) (storage.Row, error) {
 	reply := make(chan tableReply, 1)
 	r, err := c.call(ctx, getMessage{key, reply}, reply)
 	if err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return r.rows[0], nil
 }
 
-// List implements platform.Table.
-func (c tableClient) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (c tableClient) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	reply := make(chan tableReply, 1)
 	r, err := c.call(ctx, listMessage{prefix, after, limit, reply}, reply)
 	return r.rows, err
 }
 
-// Commit implements platform.Table.
-func (c tableClient) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements storage.Table.
+func (c tableClient) Commit(ctx context.Context, txn storage.Txn) error {
 	reply := make(chan tableReply, 1)
 	_, err := c.call(ctx, commitMessage{txn, reply}, reply)
 	return err
--- a/standin/tablestate.go
+++ b/standin/tablestate.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // maxQueue is the longest wait for a turn; a call that would wait longer is
@@ -16,7 +16,7 @@
 const maxQueue = 2 * time.Second
 
 // errReplyLost is the ErrUnavailable of a commit that took effect.
-var errReplyLost = eris.Wrap(platform.ErrUnavailable, "reply lost")
+var errReplyLost = eris.Wrap(storage.ErrUnavailable, "reply lost")
 
 // maxListRows bounds one List.
 const maxListRows = 10_000
@@ -26,7 +26,7 @@
 
 // tableReply is what a caller gets, after the delay.
 type tableReply struct {
-	rows  []platform.Row
+	rows  []storage.Row
 	err   error
 	delay time.Duration
 }
@@ -42,7 +42,7 @@
 		reply         chan<- tableReply
 	}
 	commitMessage struct {
-		txn   platform.Txn
+		txn   storage.Txn
 		reply chan<- tableReply
 	}
 	faultsMessage struct {
@@ -58,12 +58,12 @@
 	options TableOptions
 	faults  TableFaults
 	stats   TableStats
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	// keys are the keys of rows in order.
 	keys []string
 	// deleted keeps the last version of deleted rows, so that versions never
 	// go back.
-	deleted map[string]platform.RowVersion
+	deleted map[string]storage.RowVersion
 	reads   turns
 	writes  turns
 	log     recordLog
@@ -72,8 +72,8 @@
 func newTableState(options TableOptions) *tableState {
 	return &tableState{
 		options: options,
-		rows:    map[string]platform.Row{},
-		deleted: map[string]platform.RowVersion{},
+		rows:    map[string]storage.Row{},
+		deleted: map[string]storage.RowVersion{},
 		reads:   turns{perSecond: options.ReadsPerSecond},
 		writes:  turns{perSecond: options.WritesPerSecond},
 	}
@@ -88,10 +88,10 @@
 	s.stats.Reads++
 	row, found := s.rows[m.key]
 	if !found {
-		m.reply <- tableReply{err: eris.Wrap(platform.ErrNotFound, m.key), delay: delay}
+		m.reply <- tableReply{err: eris.Wrap(storage.ErrNotFound, m.key), delay: delay}
 		return
 	}
-	m.reply <- tableReply{rows: []platform.Row{row}, delay: delay}
+	m.reply <- tableReply{rows: []storage.Row{row}, delay: delay}
 }
 
 func (m listMessage) apply(s *tableState) {
@@ -129,22 +129,22 @@
 	delay := s.options.Latency + millis(s.faults.DelayMS)
 	if s.faults.Outage {
 		s.stats.Refused++
-		return delay, eris.Wrap(platform.ErrUnavailable, "outage")
+		return delay, eris.Wrap(storage.ErrUnavailable, "outage")
 	}
 	wait := t.next(s.options.Clock.Now())
 	if wait > maxQueue {
 		s.stats.Refused++
-		return delay, eris.Wrap(platform.ErrUnavailable, "overloaded")
+		return delay, eris.Wrap(storage.ErrUnavailable, "overloaded")
 	}
 	t.take()
 	return delay + wait, nil
 }
 
-func (s *tableState) list(prefix, after string, limit int) []platform.Row {
+func (s *tableState) list(prefix, after string, limit int) []storage.Row {
 	if limit <= 0 || limit > maxListRows {
 		limit = maxListRows
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	from := sort.SearchStrings(s.keys, max(prefix, after))
 	for _, key := range s.keys[from:] {
 		if !strings.HasPrefix(key, prefix) || len(rows) == limit {
@@ -157,11 +157,11 @@
 	return rows
 }
 
-func (s *tableState) commit(txn platform.Txn) error {
+func (s *tableState) commit(txn storage.Txn) error {
 	for _, check := range txn.Checks {
 		if s.rows[check.Key].Version != check.Version {
 			s.stats.Conflicts++
-			return eris.Wrap(platform.ErrConflict, check.Key)
+			return eris.Wrap(storage.ErrConflict, check.Key)
 		}
 	}
 	for _, write := range txn.Writes {
@@ -171,7 +171,7 @@
 	return s.loseReply()
 }
 
-func (s *tableState) write(w platform.Write) {
+func (s *tableState) write(w storage.Write) {
 	old, found := s.rows[w.Key]
 	s.stats.Bytes -= int64(len(old.Value))
 	if w.Delete {
@@ -184,7 +184,7 @@
 		at := sort.SearchStrings(s.keys, w.Key)
 		s.keys = slices.Insert(s.keys, at, w.Key)
 	}
-	row := platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: old.Version + 1}
+	row := storage.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: old.Version + 1}
 	s.rows[w.Key] = row
 	s.stats.Bytes += int64(len(row.Value))
 	s.record(row)
@@ -200,7 +200,7 @@
 	s.keys = slices.Delete(s.keys, at, at+1)
 }
 
-func (s *tableState) record(row platform.Row) {
+func (s *tableState) record(row storage.Row) {
 	if s.options.Recorded == "" || !strings.HasPrefix(row.Key, s.options.Recorded) {
 		return
 	}
--- a/platform/httpplatform/client.go
+++ b/storage/httpstorage/client.go
@@ -1,11 +1,11 @@
-// Package httpplatform reaches the platform's services by HTTP and JSON.
+// Package httpstorage reaches the platform's services by HTTP and JSON.
 //
 // A row is read by POST /table/get, rows by POST /table/list, and a
 // transaction is carried out by POST /table/commit. Objects are read, written
 // and deleted by GET, PUT and DELETE of /objects/NAME. The endpoints of a
 // failure domain are read by GET /instances?domain=NAME. Status 409 stands for
 // a conflict and 404 for a missing row or object.
-package httpplatform
+package httpstorage
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // maxReplyBytes bounds what is read of one reply.
@@ -30,7 +30,7 @@
 	http *http.Client
 }
 
-// Table is a platform.Table over HTTP.
+// Table is a storage.Table over HTTP.
 type Table struct{ client }
 
 // NewTable returns the table service at base, a URL without a path.
@@ -38,26 +38,26 @@
 	return &Table{client{base: base, http: c}}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, key string) (storage.Row, error) {
+	var row storage.Row
 	err := t.callJSON(ctx, GetPath, GetRequest{Key: key}, &row)
 	return row, err
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	var reply ListReply
 	err := t.callJSON(ctx, ListPath, ListRequest{Prefix: prefix, After: after, Limit: limit}, &reply)
 	return reply.Rows, err
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements storage.Table.
+func (t *Table) Commit(ctx context.Context, txn storage.Txn) error {
 	return t.callJSON(ctx, CommitPath, txn, nil)
 }
 
-// ObjectStore is a platform.ObjectStore over HTTP.
+// ObjectStore is a storage.ObjectStore over HTTP.
 type ObjectStore struct{ client }
 
 // NewObjectStore returns the object store at base, a URL without a path.
@@ -65,18 +65,18 @@
 	return &ObjectStore{client{base: base, http: c}}
 }
 
-// Put implements platform.ObjectStore.
+// Put implements storage.ObjectStore.
 func (s *ObjectStore) Put(ctx context.Context, name string, content []byte) error {
 	_, err := s.call(ctx, http.MethodPut, objectPath(name), content)
 	return err
 }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (s *ObjectStore) Get(ctx context.Context, name string) ([]byte, error) {
 	return s.call(ctx, http.MethodGet, objectPath(name), nil)
 }
 
-// Delete implements platform.ObjectStore.
+// Delete implements storage.ObjectStore.
 func (s *ObjectStore) Delete(ctx context.Context, name string) error {
 	_, err := s.call(ctx, http.MethodDelete, objectPath(name), nil)
 	return err
@@ -85,7 +85,7 @@
 // objectPath keeps the slashes of a name inside one segment of the path.
 func objectPath(name string) string { return ObjectsPath + url.PathEscape(name) }
 
-// InstanceList is a platform.InstanceList over HTTP.
+// InstanceList is a storage.InstanceList over HTTP.
 type InstanceList struct{ client }
 
 // NewInstanceList returns the instance list at base, a URL without a path.
@@ -93,7 +93,7 @@
 	return &InstanceList{client{base: base, http: c}}
 }
 
-// Endpoints implements platform.InstanceList.
+// Endpoints implements storage.InstanceList.
 func (l *InstanceList) Endpoints(ctx context.Context, domain model.DomainName) ([]model.EndpointInfo, error) {
 	query := url.Values{DomainParameter: {string(domain)}}
 	raw, err := l.call(ctx, http.MethodGet, InstancesPath+"?"+query.Encode(), nil)
@@ -123,7 +123,7 @@
 // decode reads a reply. One that can't be read says nothing of the call.
 func decode(raw []byte, reply any, path string) error {
 	if err := json.Unmarshal(raw, reply); err != nil {
-		return eris.Wrapf(platform.ErrUnavailable, "%s: unreadable reply: %v", path, err)
+		return eris.Wrapf(storage.ErrUnavailable, "%s: unreadable reply: %v", path, err)
 	}
 	return nil
 }
@@ -136,12 +136,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrUnavailable, "%s: %v", path, err)
+		return nil, eris.Wrapf(storage.ErrUnavailable, "%s: %v", path, err)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrUnavailable, "%s: %v", path, err)
+		return nil, eris.Wrapf(storage.ErrUnavailable, "%s: %v", path, err)
 	}
 	return raw, statusError(response.StatusCode, path)
 }
--- a/platform/httpplatform/wire.go
+++ b/storage/httpstorage/wire.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpstorage
 
 import (
 	"net/http"
@@ -6,7 +6,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/model"
-	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 // Paths of the platform's services.
@@ -40,7 +40,7 @@
 // ListReply holds the rows.
 type ListReply struct {
 	// Rows are the rows in the order of their keys.
-	Rows []platform.Row `json:"rows"`
+	Rows []storage.Row `json:"rows"`
 }
 
 // InstancesReply holds the endpoints of a failure domain.
@@ -54,9 +54,9 @@
 	switch {
 	case err == nil:
 		return http.StatusOK
-	case eris.Is(err, platform.ErrConflict):
+	case eris.Is(err, storage.ErrConflict):
 		return http.StatusConflict
-	case eris.Is(err, platform.ErrNotFound):
+	case eris.Is(err, storage.ErrNotFound):
 		return http.StatusNotFound
 	default:
 		return http.StatusServiceUnavailable
@@ -70,10 +70,10 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusConflict:
-		return eris.Wrap(platform.ErrConflict, call)
+		return eris.Wrap(storage.ErrConflict, call)
 	case http.StatusNotFound:
-		return eris.Wrap(platform.ErrNotFound, call)
+		return eris.Wrap(storage.ErrNotFound, call)
 	default:
-		return eris.Wrapf(platform.ErrUnavailable, "%s: status %d", call, status)
+		return eris.Wrapf(storage.ErrUnavailable, "%s: status %d", call, status)
 	}
 }
--- a/platform/platform.go
+++ b/storage/platform.go
@@ -1,8 +1,8 @@
-// Package platform holds the narrow interfaces to what the platform gives: a
+// Package storage holds the narrow interfaces to what the platform gives: a
 // transactional table, an object store and a lagging list of instances. Each
 // has an adapter in a package of its own, so that another protocol is one new
 // file.
-package platform
+package storage
 
 import (
 	"context"
