--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -30,6 +30,9 @@
 	Name, LogName string
 	// Usage is one line, Description the text of --help.
 	Usage, Description string
+	// SettingsEnv is an environment variable that may hold the path of the
+	// settings file; empty for none.
+	SettingsEnv string
 	// Load reads and checks the settings file.
 	Load func(file string) (S, error)
 	// Log returns the settings of the log.
@@ -46,7 +49,7 @@
 		Description: p.Description,
 		Version:     version,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
+			p.settingsFlag(),
 			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and stop"},
 		},
 		Action: p.run,
@@ -60,6 +63,14 @@
 	}
 }
 
+func (p Program[S]) settingsFlag() cli.Flag {
+	flag := &cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true}
+	if p.SettingsEnv != "" {
+		flag.EnvVars = []string{p.SettingsEnv}
+	}
+	return flag
+}
+
 func (p Program[S]) run(c *cli.Context) error {
 	settings, err := p.Load(c.String("settings"))
 	if err != nil {
--- /dev/null
+++ b/election/election.go
@@ -0,0 +1,366 @@
+// Package election chooses the instance that holds the cell. The lease row only
+// says when a successor may come; what keeps two holders apart is the epoch,
+// which the table gives to one of them and every endpoint checks.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/chart"
+	"github.com/hornbeamworks/hornbeam/charts"
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/storage"
+)
+
+// The rows of the election. The epoch row stands in the table of the jobs, so
+// that whoever follows that table's feed sees a new epoch before the jobs that
+// were accepted after it.
+const (
+	LeaseTable = "holder"
+	LeaseKey   = "holder//lease"
+	EpochKey   = "jobs//holder"
+)
+
+const (
+	// LeaseTime is how long a holder may act after its last renewal, and how
+	// long candidates wait after they have seen it.
+	LeaseTime = 2 * time.Second
+	// renewPeriod is the time between two renewals: three may fail.
+	renewPeriod = 500 * time.Millisecond
+	// callTimeout bounds a call of the table.
+	callTimeout = 700 * time.Millisecond
+	// watchTime is how long the feed of the lease row waits for a change.
+	watchTime = time.Second
+	// retryPause is the pause after a failed call.
+	retryPause = 150 * time.Millisecond
+	// claimBase is the pause of an instance with a whole core before it claims;
+	// smaller ones wait in proportion, so that larger ones hold the cell.
+	claimBase = 40 * time.Millisecond
+)
+
+// Lease is the lease row.
+type Lease struct {
+	Node        string `json:"node"`
+	Incarnation string `json:"incarnation"`
+	Epoch       uint64 `json:"epoch"`
+	// Renewals makes each renewal a change that the feed shows.
+	Renewals uint64 `json:"renewals"`
+	// Released says that the holder has stopped acting.
+	Released bool `json:"released,omitempty"`
+}
+
+// Epoch is the epoch row.
+type Epoch struct {
+	Epoch       uint64 `json:"epoch"`
+	Node        string `json:"node"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Elected says that this instance holds the cell.
+type Elected struct {
+	Epoch uint64
+	// Version is the version of the epoch row: writes of the holder depend on
+	// it.
+	Version storage.RowVersion
+	// Until is when its right to act ends unless it is renewed.
+	Until time.Time
+}
+
+// Listener is told what becomes of the election, on the election's thread.
+type Listener interface {
+	Elected(Elected)
+	// Renewed says until when the instance may act.
+	Renewed(until time.Time)
+	Deposed()
+}
+
+// Options are what an election needs.
+type Options struct {
+	Node, Incarnation string
+	// CPUShare is the share of a core that the instance has.
+	CPUShare float64
+	Table    storage.FeedTable
+	Clock    clock.Clock
+	Log      *logging.Logger
+	Listener Listener
+}
+
+// message asks the election to resign; it is the only one.
+type message struct{ done chan<- struct{} }
+
+// Election is the duty that takes part in the choice.
+type Election struct {
+	Options
+	*duty.Duty[message]
+	ctx      context.Context
+	state    chart.State
+	lease    Lease
+	version  storage.RowVersion
+	leaseAt  storage.RowVersion
+	known    bool
+	changed  time.Time
+	epoch    Epoch
+	epochAt  storage.RowVersion
+	renewAt  time.Time
+	sent     time.Time
+	resigned chan<- struct{}
+}
+
+var machine *chart.Machine[Election]
+
+var evVacant, evWon, evLost, evResign chart.Event
+
+var stFollowing, stClaiming, stHolding, stResigned chart.State
+
+func init() {
+	machine = chart.MustBind(charts.MustLoad("election"),
+		chart.Guards[Election]{},
+		chart.Actions[Election]{
+			"tell_elected": (*Election).tellElected,
+			"tell_deposed": func(e *Election) { e.Listener.Deposed() },
+			"release":      (*Election).release,
+		})
+	evVacant = machine.MustEvent("vacant")
+	evWon = machine.MustEvent("won")
+	evLost = machine.MustEvent("lost")
+	evResign = machine.MustEvent("resign")
+	stFollowing = machine.MustState("following")
+	stClaiming = machine.MustState("claiming")
+	stHolding = machine.MustState("holding")
+	stResigned = machine.MustState("resigned")
+}
+
+// New returns an election that has not started; its calls end with ctx.
+func New(ctx context.Context, o Options) *Election {
+	e := &Election{Options: o, ctx: ctx}
+	machine.Start(&e.state, e)
+	e.Duty = duty.New("election", 4, duty.HandlerFunc[message](e.handle))
+	return e
+}
+
+// Resign gives up the cell, if this instance holds it, and takes no part any
+// more. It returns once that is written or ctx has ended.
+func (e *Election) Resign(ctx context.Context) {
+	done := make(chan struct{}, 1)
+	if err := e.Put(ctx, message{done: done}); err != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Election) handle(batch []message) time.Duration {
+	for _, m := range batch {
+		e.fire(evResign)
+		m.done <- struct{}{}
+	}
+	switch e.state {
+	case stFollowing:
+		return e.follow()
+	case stClaiming:
+		return e.claim()
+	case stHolding:
+		return e.hold()
+	default:
+		return duty.Never
+	}
+}
+
+func (e *Election) fire(event chart.Event) {
+	before := e.state
+	if machine.Fire(&e.state, event, e) && e.state != before {
+		e.Log.Info("election_state", slog.String("state", machine.Name(e.state)),
+			slog.Uint64("epoch", e.epoch.Epoch), slog.String("holder", e.lease.Node),
+			slog.Duration("lease_age", e.Clock.Now().Sub(e.changed)))
+	}
+}
+
+// follow waits for the lease row to change or to grow old.
+func (e *Election) follow() time.Duration {
+	if !e.known {
+		return e.readLease()
+	}
+	asked := e.Clock.Now()
+	wait := min(watchTime, max(e.vacantAt().Sub(asked), time.Millisecond))
+	ctx, cancel := context.WithTimeout(e.ctx, wait+callTimeout)
+	defer cancel()
+	found, err := e.Table.Watch(ctx, LeaseTable, e.version, wait)
+	if eris.Is(err, storage.ErrHistoryGone) {
+		e.known = false
+		return 0
+	}
+	if err != nil {
+		return retryPause
+	}
+	e.version = found.Version
+	for _, c := range found.Changes {
+		if c.Key == LeaseKey {
+			e.note(c.Row, c.Deleted)
+		}
+	}
+	if len(found.Changes) == 0 && !asked.Add(wait).Before(e.vacantAt()) || e.free() {
+		e.fire(evVacant)
+		return e.claimPause()
+	}
+	return 0
+}
+
+func (e *Election) vacantAt() time.Time { return e.changed.Add(LeaseTime) }
+
+// free reports whether the lease is held by nobody who can act: it was given
+// up, or this instance has started anew since.
+func (e *Election) free() bool {
+	return e.leaseAt == 0 || e.lease.Released ||
+		e.lease.Node == e.Node && e.lease.Incarnation != e.Incarnation
+}
+
+func (e *Election) claimPause() time.Duration {
+	return time.Duration(float64(claimBase) / max(e.CPUShare, 0.05))
+}
+
+func (e *Election) readLease() time.Duration {
+	ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
+	defer cancel()
+	found, err := e.Table.Scan(ctx, LeaseTable+"//")
+	if err != nil {
+		return retryPause
+	}
+	e.known, e.version = true, found.Version
+	row := storage.Row{}
+	for _, r := range found.Rows {
+		if r.Key == LeaseKey {
+			row = r
+		}
+	}
+	if row.Version != e.leaseAt || e.changed.IsZero() {
+		e.note(row, row.Version == 0)
+	}
+	if e.free() {
+		e.fire(evVacant)
+		return e.claimPause()
+	}
+	return 0
+}
+
+func (e *Election) note(row storage.Row, deleted bool) {
+	e.changed = e.Clock.Now()
+	e.leaseAt, e.lease = row.Version, Lease{}
+	if deleted {
+		e.leaseAt = 0
+		return
+	}
+	if err := json.Unmarshal(row.Value, &e.lease); err != nil {
+		e.Log.Error("lease_unreadable", slog.Any("error", err))
+	}
+}
+
+// claim tries to take the next epoch.
+func (e *Election) claim() time.Duration {
+	ctx, cancel := context.WithTimeout(e.ctx, 2*callTimeout)
+	defer cancel()
+	previous, version, err := e.readEpoch(ctx)
+	if err != nil {
+		e.fire(evLost)
+		return retryPause
+	}
+	sent := e.Clock.Now()
+	next := Epoch{Epoch: previous.Epoch + 1, Node: e.Node, Incarnation: e.Incarnation}
+	lease := Lease{Node: e.Node, Incarnation: e.Incarnation, Epoch: next.Epoch}
+	err = e.Table.Commit(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}, {Key: EpochKey, Version: version}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: encode(lease)}, {Key: EpochKey, Value: encode(next)}},
+	})
+	if err != nil && !eris.Is(err, storage.ErrUnavailable) {
+		e.known = false
+		e.fire(evLost)
+		return retryPause
+	}
+	return e.confirm(ctx, next, lease, sent)
+}
+
+// confirm reads the epoch row: a commit without an answer may have taken effect.
+func (e *Election) confirm(ctx context.Context, next Epoch, lease Lease, sent time.Time) time.Duration {
+	found, version, err := e.readEpoch(ctx)
+	e.known = false
+	if err != nil || found != next {
+		e.fire(evLost)
+		return retryPause
+	}
+	e.epoch, e.epochAt, e.lease, e.sent = next, version, lease, sent
+	e.renewAt = sent.Add(renewPeriod)
+	e.fire(evWon)
+	return e.renewAt.Sub(e.Clock.Now())
+}
+
+func (e *Election) readEpoch(ctx context.Context) (Epoch, storage.RowVersion, error) {
+	var found Epoch
+	row, err := e.Table.Get(ctx, EpochKey)
+	if eris.Is(err, storage.ErrNotFound) {
+		return found, 0, nil
+	}
+	if err != nil {
+		return found, 0, err
+	}
+	return found, row.Version, json.Unmarshal(row.Value, &found)
+}
+
+func (e *Election) tellElected() {
+	e.Listener.Elected(Elected{Epoch: e.epoch.Epoch, Version: e.epochAt, Until: e.sent.Add(LeaseTime)})
+}
+
+// hold renews the lease. A conflict means that another instance holds the cell;
+// without an answer the right to act runs out by itself.
+func (e *Election) hold() time.Duration {
+	now := e.Clock.Now()
+	if wait := e.renewAt.Sub(now); wait > 0 {
+		return wait
+	}
+	err := e.writeLease(e.ctx, false)
+	switch {
+	case err == nil:
+		e.Listener.Renewed(now.Add(LeaseTime))
+		e.renewAt = now.Add(renewPeriod)
+	case eris.Is(err, storage.ErrConflict):
+		e.fire(evLost)
+	default:
+		e.Log.Warn("lease_not_renewed", slog.Uint64("epoch", e.epoch.Epoch), slog.Any("error", err))
+		e.renewAt = e.Clock.Now().Add(retryPause)
+	}
+	return max(e.renewAt.Sub(e.Clock.Now()), 0)
+}
+
+func (e *Election) release() {
+	e.Listener.Deposed()
+	if err := e.writeLease(context.WithoutCancel(e.ctx), true); err != nil {
+		e.Log.Warn("lease_not_released", slog.Uint64("epoch", e.epoch.Epoch), slog.Any("error", err))
+	}
+}
+
+func (e *Election) writeLease(parent context.Context, released bool) error {
+	ctx, cancel := context.WithTimeout(parent, callTimeout)
+	defer cancel()
+	e.lease.Renewals++
+	e.lease.Released = released
+	return e.Table.Commit(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: EpochKey, Version: e.epochAt}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
+	})
+}
+
+// encode returns a row of plain fields, which always encode.
+func encode(row any) []byte {
+	raw, err := json.Marshal(row)
+	if err != nil {
+		panic("election: " + err.Error())
+	}
+	return raw
+}
--- /dev/null
+++ b/holder/consult.go
@@ -0,0 +1,242 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
+	"github.com/hornbeamworks/hornbeam/storage"
+)
+
+const (
+	// shortQuestion is the cost up to which a question may be asked by the
+	// instance that is kept for short ones.
+	shortQuestion = 60 * time.Millisecond
+	// adviceTimeout is allowed for a question beyond its cost.
+	adviceTimeout = 800 * time.Millisecond
+	// adviserPause keeps questions from an instance that has not answered.
+	adviserPause = 1500 * time.Millisecond
+)
+
+// Adviser asks the advice service from an instance of the system.
+type Adviser interface {
+	// Ask returns the endpoints that may run the step, with their tickets. The
+	// instance is named by its peer address; empty is this one.
+	Ask(ctx context.Context, instance string, step jobs.StepID, endpoints []model.EndpointID) (map[model.EndpointID]string, error)
+}
+
+// consults spreads the questions over the instances, one each at a time.
+type consults struct {
+	questions []planner.Question
+	advisers  map[string]*adviser
+}
+
+// adviser is an instance that asks; its duty waits for the answer.
+type adviser struct {
+	*duty.Duty[planner.Question]
+	address string
+	busy    bool
+	// barred is until when it is not asked, since it has not answered.
+	barred time.Time
+}
+
+func newConsults() *consults { return &consults{advisers: map[string]*adviser{}} }
+
+func (c *consults) add(q planner.Question) { c.questions = append(c.questions, q) }
+
+func (c *consults) waiting() int { return len(c.questions) }
+
+func (c *consults) stop() {
+	for _, a := range c.advisers {
+		a.Stop()
+	}
+}
+
+// dispatch gives the waiting questions to idle instances, the most urgent first.
+// While there are several instances, this one is kept for short questions.
+func (c *consults) dispatch(h *Holder) {
+	if len(c.questions) == 0 || !h.mayAct() {
+		return
+	}
+	sort.SliceStable(c.questions, func(i, k int) bool {
+		a, b := c.questions[i], c.questions[k]
+		if a.Priority != b.Priority {
+			return a.Priority < b.Priority
+		}
+		return a.Due.Before(b.Due)
+	})
+	var left []planner.Question
+	for _, q := range c.questions {
+		if a := c.idle(h.now, q.Cost <= shortQuestion); a == nil || !a.Offer(q) {
+			left = append(left, q)
+		} else {
+			a.busy = true
+		}
+	}
+	c.questions = left
+}
+
+// idle returns an instance that can be asked now: this one first for a short
+// question, last for a long one and only if there is no other.
+func (c *consults) idle(now time.Time, short bool) *adviser {
+	own := c.advisers[""]
+	if short && own != nil && !own.busy {
+		return own
+	}
+	others := 0
+	for _, address := range c.addresses() {
+		a := c.advisers[address]
+		if address == "" || now.Before(a.barred) {
+			continue
+		}
+		others++
+		if !a.busy {
+			return a
+		}
+	}
+	if others == 0 && own != nil && !own.busy {
+		return own
+	}
+	return nil
+}
+
+func (c *consults) addresses() []string {
+	list := make([]string, 0, len(c.advisers))
+	for address := range c.advisers {
+		list = append(list, address)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// setInstances takes the peer addresses of the other instances.
+func (c *consults) setInstances(h *Holder, addresses []string) {
+	c.ensure(h, "")
+	listed := map[string]bool{"": true}
+	for _, address := range addresses {
+		listed[address] = true
+		c.ensure(h, address)
+	}
+	for address, a := range c.advisers {
+		if !listed[address] && !a.busy {
+			a.Stop()
+			delete(c.advisers, address)
+		}
+	}
+}
+
+func (c *consults) ensure(h *Holder, address string) {
+	if c.advisers[address] != nil {
+		return
+	}
+	current := h.cell
+	a := &adviser{address: address}
+	a.Duty = duty.New("adviser", 1, duty.HandlerFunc[planner.Question](func(batch []planner.Question) time.Duration {
+		for _, q := range batch {
+			h.consult(current, a, q)
+		}
+		return duty.Never
+	}))
+	c.advisers[address] = a
+	h.Start(a)
+}
+
+// consult asks one question on the adviser's thread.
+func (h *Holder) consult(c *cell, a *adviser, q planner.Question) {
+	ctx, cancel := context.WithTimeout(c.ctx, q.Cost+adviceTimeout)
+	defer cancel()
+	tickets, err := h.Advice.Ask(ctx, a.address, q.Step, q.Endpoints)
+	h.tell(advisedMessage{epoch: c.epoch, adviser: a, question: q, tickets: tickets, answered: h.Clock.Now(), err: err})
+}
+
+// advisedMessage is the answer to a question.
+type advisedMessage struct {
+	epoch    uint64
+	adviser  *adviser
+	question planner.Question
+	tickets  map[model.EndpointID]string
+	answered time.Time
+	err      error
+}
+
+func (m advisedMessage) apply(h *Holder) {
+	c := h.cell
+	if c == nil || c.epoch != m.epoch {
+		return
+	}
+	m.adviser.busy = false
+	if m.err != nil {
+		counts.Add("advice_failed", 1)
+		if m.adviser.address != "" {
+			m.adviser.barred = h.now.Add(adviserPause)
+		}
+		h.Log.Warn("advice_failed", slog.String("id", string(m.question.Step.Job)), slog.String("step", m.question.Step.String()),
+			slog.String("instance", m.adviser.address), slog.Any("error", m.err))
+		c.planner.Advised(m.question, nil, m.answered)
+		return
+	}
+	counts.Add("advice", 1)
+	h.Log.Info("advice", slog.String("id", string(m.question.Step.Job)), slog.String("step", m.question.Step.String()),
+		slog.Int("asked", len(m.question.Endpoints)), slog.Int("good", len(m.tickets)), slog.String("instance", m.adviser.address))
+	if m.tickets == nil {
+		m.tickets = map[model.EndpointID]string{}
+	}
+	c.planner.Advised(m.question, m.tickets, m.answered)
+}
+
+// nodeReader reads the other instances from time to time.
+type nodeReader struct {
+	*duty.Duty[struct{}]
+	h *Holder
+	c *cell
+}
+
+func (r *nodeReader) handle([]struct{}) time.Duration {
+	if r.c.ctx.Err() != nil {
+		r.Stop()
+		return duty.Never
+	}
+	ctx, cancel := context.WithTimeout(r.c.ctx, adviceTimeout)
+	defer cancel()
+	found, err := r.h.Table.Scan(ctx, NodesTable+"//")
+	if err != nil {
+		r.h.Log.Warn("nodes_not_read", slog.Any("error", err))
+		return nodesPeriod
+	}
+	var addresses []string
+	for _, row := range found.Rows {
+		var node Node
+		if err := json.Unmarshal(row.Value, &node); err != nil {
+			r.h.Log.Error("node_unreadable", slog.String("key", row.Key), slog.Any("error", err))
+			continue
+		}
+		if string(idOf(row.Key)) != r.h.Node {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	r.h.tell(nodesMessage{epoch: r.c.epoch, addresses: addresses})
+	return nodesPeriod
+}
+
+type nodesMessage struct {
+	epoch     uint64
+	addresses []string
+}
+
+func (m nodesMessage) apply(h *Holder) {
+	if h.cell != nil && h.cell.epoch == m.epoch && actingStates.Has(h.state) {
+		h.cell.consults.setInstances(h, m.addresses)
+	}
+}
+
+func decode(row storage.Row, into any) error {
+	return eris.Wrapf(json.Unmarshal(row.Value, into), "decoding the row %s", row.Key)
+}
--- /dev/null
+++ b/holder/operators.go
@@ -0,0 +1,42 @@
+package holder
+
+import (
+	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+// SetCatalog hands over a configuration in force.
+func (h *Holder) SetCatalog(c *catalog.Catalog) { h.tell(catalogMessage{c}) }
+
+// SetEvacuated says whether a failure domain is taken out.
+func (h *Holder) SetEvacuated(domain model.DomainName, out bool) {
+	h.tell(evacuatedMessage{domain: domain, out: out})
+}
+
+type catalogMessage struct{ catalog *catalog.Catalog }
+
+func (m catalogMessage) apply(h *Holder) {
+	if h.catalog != nil && m.catalog.Version <= h.catalog.Version {
+		return
+	}
+	h.catalog = m.catalog
+	if h.cell != nil {
+		h.cell.planner.SetCatalog(m.catalog)
+	}
+}
+
+type evacuatedMessage struct {
+	domain model.DomainName
+	out    bool
+}
+
+func (m evacuatedMessage) apply(h *Holder) {
+	if m.out {
+		h.evacuated[m.domain] = true
+	} else {
+		delete(h.evacuated, m.domain)
+	}
+	if h.cell != nil {
+		h.cell.planner.SetEvacuated(m.domain, m.out)
+	}
+}
--- /dev/null
+++ b/holder/takeover.go
@@ -0,0 +1,354 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/election"
+	"github.com/hornbeamworks/hornbeam/feed"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
+	"github.com/hornbeamworks/hornbeam/storage"
+)
+
+const (
+	// restoreTimeout bounds one try to read the cell.
+	restoreTimeout = 4 * time.Second
+	// restorePause is the pause after a try that failed.
+	restorePause = 150 * time.Millisecond
+	// jobsPause is the least time between two calls of the jobs' feed: jobs
+	// that arrive together are read together.
+	jobsPause = 4 * time.Millisecond
+	// registryPause is the same for the endpoints' entries.
+	registryPause = 100 * time.Millisecond
+	// nodesPeriod is how often the instances are read.
+	nodesPeriod = 3 * time.Second
+)
+
+// restored is what a successor has read.
+type restored struct {
+	epoch    uint64
+	jobs     map[jobs.ID]*jobs.Job
+	versions map[jobs.ID]storage.RowVersion
+	progress map[jobs.ID]*jobs.Progress
+	roster   roster
+	record   storage.RowVersion
+	// from is where the jobs' feed goes on.
+	from storage.RowVersion
+}
+
+func (r *restored) apply(h *Holder) {
+	if h.cell == nil || h.cell.epoch != r.epoch {
+		return
+	}
+	h.cell.restored = r
+	h.fire(evRestored)
+}
+
+// Elected implements election.Listener.
+func (h *Holder) Elected(e election.Elected) { h.tell(electedMessage{e}) }
+
+// Renewed implements election.Listener.
+func (h *Holder) Renewed(until time.Time) { h.tell(renewedMessage{until}) }
+
+// Deposed implements election.Listener.
+func (h *Holder) Deposed() { h.tell(deposedMessage{}) }
+
+type electedMessage struct{ election.Elected }
+
+func (m electedMessage) apply(h *Holder) {
+	h.elected, h.until = m.Elected, m.Until
+	h.fire(evElected)
+}
+
+type renewedMessage struct{ until time.Time }
+
+func (m renewedMessage) apply(h *Holder) { h.until = m.until }
+
+type deposedMessage struct{}
+
+func (deposedMessage) apply(h *Holder) {
+	h.until = time.Time{}
+	h.fire(evDeposed)
+}
+
+// beginRestore reads the cell on a thread of its own.
+func (h *Holder) beginRestore() {
+	ctx, cancel := context.WithCancel(h.ctx)
+	c := &cell{
+		epoch:     h.elected.Epoch,
+		ctx:       ctx,
+		cancel:    cancel,
+		planner:   planner.New(h.elected.Epoch),
+		links:     map[model.EndpointID]*link{},
+		roster:    map[model.EndpointID]rosterEntry{},
+		enlisted:  map[model.EndpointID]bool{},
+		inherited: map[model.EndpointID]bool{},
+		consults:  newConsults(),
+	}
+	h.cell = c
+	c.planner.Clock(h.now, h.Wall.Now().UnixMilli())
+	reader := &restorer{table: h.Table, lanes: h.Lanes, epoch: c.epoch, ctx: ctx, h: h}
+	reader.Duty = duty.New("restorer", 1, duty.HandlerFunc[struct{}](reader.handle))
+	h.Start(reader)
+}
+
+// forgetCell ends all that belongs to the epoch.
+func (h *Holder) forgetCell() {
+	c := h.cell
+	h.cell = nil
+	c.cancel()
+	for _, f := range c.feeds {
+		f.Stop()
+	}
+	for _, l := range c.links {
+		l.listener.Stop()
+	}
+	for _, lane := range c.couriers {
+		lane.Stop()
+	}
+	c.consults.stop()
+	if c.recorder != nil {
+		c.recorder.writer.Stop()
+	}
+}
+
+// takeOver hands what was read to the planner and starts the cell's duties.
+func (h *Holder) takeOver() {
+	c, r := h.cell, h.cell.restored
+	c.restored = nil
+	c.recorder = newRecorder(h, r.record)
+	if h.catalog != nil {
+		c.planner.SetCatalog(h.catalog)
+	}
+	for domain := range h.evacuated {
+		c.planner.SetEvacuated(domain, true)
+	}
+	held := 0
+	for id, job := range r.jobs {
+		old := r.versions[id] < h.elected.Version
+		c.planner.AddJob(job, r.progress[id], old)
+		if old {
+			held++
+		}
+	}
+	for _, e := range r.roster.Endpoints {
+		c.roster[e.ID] = e
+		c.enlisted[e.ID] = true
+		c.inherited[e.ID] = true
+		h.addLink(e.ID, e.Address)
+	}
+	c.settleBy = h.now.Add(h.leaseBound())
+	h.Log.Info("cell_restored", slog.Uint64("epoch", c.epoch), slog.Int("jobs", len(r.jobs)),
+		slog.Int("held", held), slog.Int("endpoints", len(r.roster.Endpoints)), slog.Uint64("version", uint64(r.from)))
+	h.startDuties(r.from)
+}
+
+func (h *Holder) startDuties(from storage.RowVersion) {
+	c := h.cell
+	for i := range courierLanes {
+		lane := newCourier(h, c, i)
+		c.couriers = append(c.couriers, lane)
+		h.Start(lane)
+	}
+	common := feed.Options{Source: h.Table, Clock: h.Clock, Log: h.Log}
+	jobsFeed := common
+	jobsFeed.ID, jobsFeed.Table, jobsFeed.Prefixes = "jobs_feed", JobsTable, h.Lanes.Prefixes(JobsTable)
+	jobsFeed.From, jobsFeed.Pause = from, jobsPause
+	jobsFeed.Sink = func(u feed.Update) { h.tell(jobsMessage{c.epoch, u}) }
+	registry := common
+	registry.ID, registry.Table, registry.Prefixes = "registry_feed", h.Registry.RegistryTable(), []string{h.Registry.RegistryTable() + "//"}
+	registry.Pause = registryPause
+	registry.Sink = func(u feed.Update) { h.tell(registryMessage{c.epoch, u}) }
+	for _, o := range []feed.Options{jobsFeed, registry} {
+		f := feed.New(c.ctx, o)
+		c.feeds = append(c.feeds, f)
+		h.Start(f)
+	}
+	nodes := &nodeReader{h: h, c: c}
+	nodes.Duty = duty.New("node_reader", 1, duty.HandlerFunc[struct{}](nodes.handle))
+	h.Start(nodes)
+}
+
+// jobsMessage are accepted or cancelled jobs.
+type jobsMessage struct {
+	epoch  uint64
+	update feed.Update
+}
+
+func (m jobsMessage) apply(h *Holder) {
+	c := h.cell
+	if c == nil || c.epoch != m.epoch || !actingStates.Has(h.state) {
+		return
+	}
+	for _, change := range m.update.Changes {
+		if change.Key == election.EpochKey {
+			h.noteEpoch(change)
+			continue
+		}
+		if !change.Deleted {
+			h.takeJob(change.Row)
+		}
+	}
+}
+
+// noteEpoch stops the holder at a later epoch: what follows in the feed belongs
+// to its successor.
+func (h *Holder) noteEpoch(change storage.Change) {
+	var row election.Epoch
+	if err := json.Unmarshal(change.Value, &row); err != nil {
+		h.Log.Error("epoch_unreadable", slog.Any("error", err))
+		return
+	}
+	if row.Epoch > h.elected.Epoch {
+		h.stepDown("the jobs' feed shows a later epoch")
+	}
+}
+
+// stepDown stops acting at once.
+func (h *Holder) stepDown(reason string) {
+	h.Log.Warn("stepping_down", slog.Uint64("epoch", h.elected.Epoch), slog.String("reason", reason))
+	h.until = time.Time{}
+	h.fire(evDeposed)
+}
+
+func (h *Holder) takeJob(row storage.Row) {
+	if h.cell == nil {
+		return
+	}
+	job, err := decodeJob(row)
+	if err != nil {
+		h.Log.Error("job_unreadable", slog.String("key", row.Key), slog.Any("error", err))
+		return
+	}
+	p := h.cell.planner
+	switch {
+	case p.Known(job.ID) && job.Cancelled:
+		p.CancelJob(job.ID)
+	case !p.Known(job.ID) && !h.cell.recorder.forgotten(job.ID):
+		p.AddJob(job, nil, false)
+	default:
+		return
+	}
+	h.Log.Info("job_taken", slog.String("id", string(job.ID)), slog.String("queue", string(job.Queue)),
+		slog.String("team", string(job.Team)), slog.Bool("cancelled", job.Cancelled),
+		slog.Uint64("version", uint64(row.Version)), slog.Int("steps", len(job.Steps)),
+		slog.Int64("age_ms", h.Wall.Now().UnixMilli()-job.Accepted))
+}
+
+func decodeJob(row storage.Row) (*jobs.Job, error) {
+	var job jobs.Job
+	if err := json.Unmarshal(row.Value, &job); err != nil {
+		return nil, eris.Wrap(err, "decoding a job")
+	}
+	if job.ID != idOf(row.Key) {
+		return nil, eris.New("the row holds another job")
+	}
+	return &job, nil
+}
+
+// restorer reads the cell once.
+type restorer struct {
+	*duty.Duty[struct{}]
+	table storage.FeedTable
+	lanes Lanes
+	epoch uint64
+	ctx   context.Context
+	h     *Holder
+	done  bool
+}
+
+func (r *restorer) handle([]struct{}) time.Duration {
+	if r.done || r.ctx.Err() != nil {
+		r.Stop()
+		return duty.Never
+	}
+	found, err := r.read()
+	if err != nil {
+		r.h.Log.Warn("cell_not_read", slog.Uint64("epoch", r.epoch), slog.Any("error", err))
+		return restorePause
+	}
+	r.done = true
+	r.h.tell(found)
+	return 0
+}
+
+func (r *restorer) read() (*restored, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, restoreTimeout)
+	defer cancel()
+	found := &restored{
+		epoch: r.epoch, jobs: map[jobs.ID]*jobs.Job{},
+		versions: map[jobs.ID]storage.RowVersion{}, progress: map[jobs.ID]*jobs.Progress{},
+	}
+	if err := r.readFixed(ctx, found); err != nil {
+		return nil, err
+	}
+	if err := r.readJobs(ctx, found); err != nil {
+		return nil, err
+	}
+	return found, r.readProgress(ctx, found)
+}
+
+// readFixed reads the rows that there is one of.
+func (r *restorer) readFixed(ctx context.Context, found *restored) error {
+	row, err := r.table.Get(ctx, rosterKey)
+	if err == nil {
+		err = json.Unmarshal(row.Value, &found.roster)
+	}
+	if err != nil && !eris.Is(err, storage.ErrNotFound) {
+		return err
+	}
+	row, err = r.table.Get(ctx, recordKey)
+	if err != nil && !eris.Is(err, storage.ErrNotFound) {
+		return err
+	}
+	found.record = row.Version
+	return nil
+}
+
+func (r *restorer) readJobs(ctx context.Context, found *restored) error {
+	for _, prefix := range r.lanes.Prefixes(JobsTable) {
+		rows, err := r.table.Scan(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		if found.from == 0 {
+			found.from = rows.Version
+		}
+		for _, row := range rows.Rows {
+			if row.Key == election.EpochKey {
+				continue
+			}
+			job, err := decodeJob(row)
+			if err != nil {
+				r.h.Log.Error("job_unreadable", slog.String("key", row.Key), slog.Any("error", err))
+				continue
+			}
+			found.jobs[job.ID], found.versions[job.ID] = job, row.Version
+		}
+	}
+	return nil
+}
+
+func (r *restorer) readProgress(ctx context.Context, found *restored) error {
+	for _, prefix := range r.lanes.Prefixes(progressTable) {
+		rows, err := r.table.Scan(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows.Rows {
+			var progress jobs.Progress
+			if err := json.Unmarshal(row.Value, &progress); err != nil {
+				return eris.Wrapf(err, "decoding the progress at %s", row.Key)
+			}
+			found.progress[idOf(row.Key)] = &progress
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/planner/job.go
@@ -0,0 +1,348 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/chart"
+	"github.com/hornbeamworks/hornbeam/charts"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+// job is an accepted job under way.
+type job struct {
+	*jobs.Job
+	p     *Planner
+	state chart.State
+	// accepted is the time of acceptance on the steady clock.
+	accepted time.Time
+	begun    bool
+	outcome  jobs.State
+	reason   string
+	// held says that a run of it may be where nobody has looked yet.
+	held bool
+	// steps are those of the occurrences that have been opened; left counts
+	// the ones that are not complete.
+	steps []*step
+	left  int
+	// opened counts the occurrences that have been opened.
+	opened int
+	// live counts its runs.
+	live int
+	// surplus says that its team had sent more than its weight by then.
+	surplus bool
+}
+
+// jobsChart is the chart of jobs. Its actions fire events of tasks and runs,
+// whose charts refer to it in turn, so that they are bound by init.
+var jobsChart *chart.Machine[job]
+
+var evJobFinish, evJobIdle chart.Event
+
+var jobClosing chart.StateSet
+
+func init() {
+	jobsChart = chart.MustBind(charts.MustLoad("cell_job"),
+		chart.Guards[job]{"has_runs": func(j *job) bool { return j.live > 0 }},
+		chart.Actions[job]{
+			"tell_outcome": (*job).tellOutcome,
+			"stop_runs":    func(j *job) { j.stopRuns("job is " + string(j.outcome)) },
+			"forget":       (*job).forget,
+		})
+	evJobFinish = jobsChart.MustEvent("finish")
+	evJobIdle = jobsChart.MustEvent("idle")
+	jobClosing = jobsChart.MustSet("closing", "gone")
+}
+
+func (j *job) closing() bool { return jobClosing.Has(j.state) }
+
+// AddJob takes in an accepted job with its progress; nil for a new one. held
+// says that a former holder may have started tasks of it.
+func (p *Planner) AddJob(accepted *jobs.Job, progress *jobs.Progress, held bool) {
+	if p.jobs[accepted.ID] != nil {
+		return
+	}
+	j := &job{Job: accepted, p: p, held: held, accepted: p.acceptedAt(accepted)}
+	jobsChart.Start(&j.state, j)
+	p.jobs[j.ID] = j
+	j.surplus = !p.teamOf(j.Team).admit(p, j.accepted)
+	j.left = j.Runs() * len(j.Steps)
+	p.scheduled[j] = true
+	p.dirty = true
+	if progress != nil {
+		j.restore(progress)
+	}
+	if j.Cancelled {
+		j.finish(jobs.Cancelled, "cancelled by its caller")
+	}
+}
+
+// acceptedAt returns when the job was accepted on the steady clock. The wall
+// clocks of two instances may differ, so that the age is never negative.
+func (p *Planner) acceptedAt(j *jobs.Job) time.Time {
+	age := time.Duration(max(p.wall-j.Accepted, 0)) * time.Millisecond
+	return p.now.Add(-age)
+}
+
+// CancelJob ends the job: nothing of it starts any more, what runs is stopped.
+func (p *Planner) CancelJob(id jobs.ID) {
+	if j := p.jobs[id]; j != nil {
+		j.Cancelled = true
+		j.finish(jobs.Cancelled, "cancelled by its caller")
+	}
+	p.dirty = true
+}
+
+// Known reports whether the planner holds the job.
+func (p *Planner) Known(id jobs.ID) bool { return p.jobs[id] != nil }
+
+// ReleaseHeld lets the jobs of the former holder start: every endpoint that may
+// run their tasks has been listed or its lease has ended.
+func (p *Planner) ReleaseHeld() {
+	for _, j := range p.jobs {
+		j.held = false
+	}
+	p.dirty = true
+}
+
+func (j *job) finish(state jobs.State, reason string) {
+	if j.outcome != "" {
+		return
+	}
+	j.outcome, j.reason = state, reason
+	jobsChart.Fire(&j.state, evJobFinish, j)
+}
+
+func (j *job) tellOutcome() {
+	j.changed()
+	j.p.plan.Outcomes = append(j.p.plan.Outcomes, Outcome{
+		Job: j.ID, State: j.outcome, Reason: j.reason, Took: j.p.now.Sub(j.accepted), Queue: j.Queue, Team: j.Team,
+	})
+	for _, s := range j.steps {
+		delete(j.p.open, s)
+	}
+	delete(j.p.scheduled, j)
+}
+
+func (j *job) stopRuns(reason string) {
+	for _, s := range j.steps {
+		if s.Gang && s.state == stepComplete {
+			// Its members have ended together and will be listed so.
+			continue
+		}
+		for _, t := range s.tasks {
+			for _, r := range t.copies() {
+				r.reason = reason
+				r.fire(evStop)
+			}
+		}
+	}
+}
+
+func (j *job) forget() {
+	j.p.plan.Removed = append(j.p.plan.Removed, j.ID)
+	delete(j.p.jobs, j.ID)
+}
+
+// changed says that the job's progress has to be recorded.
+func (j *job) changed() {
+	j.p.plan.Changed = append(j.p.plan.Changed, j.ID)
+	j.p.dirty = true
+}
+
+// begin notes that a task has started.
+func (j *job) begin() {
+	if !j.begun {
+		j.begun = true
+		j.changed()
+	}
+}
+
+// runGone is told when one of the job's runs is gone.
+func (j *job) runGone() {
+	j.live--
+	if j.live == 0 {
+		jobsChart.Fire(&j.state, evJobIdle, j)
+	}
+}
+
+// stepDone is told when a step is complete.
+func (j *job) stepDone(s *step) {
+	j.left--
+	j.changed()
+	if j.left == 0 {
+		j.finish(jobs.Completed, "all tasks succeeded")
+		return
+	}
+	j.openNext(s.id.Occurrence)
+}
+
+// openNext opens the steps of the occurrence whose earlier steps are complete.
+func (j *job) openNext(occurrence int) {
+	for i := range j.Steps {
+		s := j.step(occurrence, i)
+		if s != nil && s.prerequisitesDone() {
+			stepsChart.Fire(&s.state, evStepOpen, s)
+		}
+	}
+}
+
+// step returns a step of an occurrence that has been opened, or nil.
+func (j *job) step(occurrence, index int) *step {
+	at := occurrence*len(j.Steps) + index
+	if occurrence < 0 || index < 0 || index >= len(j.Steps) || at >= len(j.steps) {
+		return nil
+	}
+	return j.steps[at]
+}
+
+// openOccurrences opens the occurrences that are due.
+func (p *Planner) openOccurrences() {
+	for j := range p.scheduled {
+		for j.opened < j.Runs() && j.due(j.opened) <= p.wall {
+			j.openOccurrence()
+		}
+		if j.opened == j.Runs() {
+			delete(p.scheduled, j)
+		}
+	}
+}
+
+// due returns when an occurrence may start, in Unix milliseconds.
+func (j *job) due(occurrence int) int64 {
+	if j.Occurrences == 0 {
+		return 0
+	}
+	return j.First + int64(occurrence)*j.Interval.Milliseconds()
+}
+
+func (j *job) openOccurrence() {
+	k := j.opened
+	j.opened++
+	for i := range j.Steps {
+		id := jobs.StepID{Job: j.ID, Occurrence: k, Step: i}
+		j.steps = append(j.steps, newStep(j, id, &j.Steps[i]))
+	}
+	j.openNext(k)
+}
+
+// Progress returns what has to be recorded of the job.
+func (p *Planner) Progress(id jobs.ID) (jobs.Progress, bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return jobs.Progress{}, false
+	}
+	progress := jobs.Progress{Begun: j.begun, Outcome: j.outcome}
+	for _, s := range j.steps {
+		if row, any := s.progress(); any {
+			progress.Steps = append(progress.Steps, row)
+		}
+	}
+	return progress, true
+}
+
+// State returns what callers are told of the job.
+func (p *Planner) State(id jobs.ID) jobs.State {
+	j := p.jobs[id]
+	switch {
+	case j == nil:
+		return ""
+	case j.outcome != "":
+		return j.outcome
+	case j.begun:
+		return jobs.Running
+	default:
+		return jobs.Queued
+	}
+}
+
+// Job returns the accepted job.
+func (p *Planner) Job(id jobs.ID) *jobs.Job {
+	if j := p.jobs[id]; j != nil {
+		return j.Job
+	}
+	return nil
+}
+
+// restore takes over the recorded progress.
+func (j *job) restore(progress *jobs.Progress) {
+	j.begun = progress.Begun
+	for _, row := range progress.Steps {
+		for j.opened <= row.Occurrence && j.opened < j.Runs() {
+			j.openOccurrence()
+		}
+		if s := j.step(row.Occurrence, row.Step); s != nil {
+			s.restore(row)
+		}
+	}
+	if progress.Outcome != "" {
+		j.finish(progress.Outcome, "recorded by the former holder")
+	}
+}
+
+// team is what a team has running.
+type team struct {
+	name model.TeamName
+	// running counts reservations, too.
+	running model.Resources
+	// tokens are the jobs that the team may send before they count as surplus,
+	// as of filled.
+	tokens float64
+	filled time.Time
+}
+
+// surplusBurst is how many seconds of its weight a team may send at once.
+const surplusBurst = 3
+
+func (p *Planner) teamOf(name model.TeamName) *team {
+	t := p.teams[name]
+	if t == nil {
+		t = &team{name: name, tokens: -1}
+		p.teams[name] = t
+	}
+	return t
+}
+
+// admit reports whether a job accepted at the time is within the team's weight.
+func (t *team) admit(p *Planner, at time.Time) bool {
+	if p.catalog == nil || p.catalog.Teams[t.name] == nil {
+		return true
+	}
+	weight := p.catalog.Teams[t.name].Weight
+	if weight <= 0 {
+		return true
+	}
+	burst := surplusBurst * weight
+	if t.tokens < 0 {
+		t.tokens, t.filled = burst, at
+	}
+	if at.After(t.filled) {
+		t.tokens = min(burst, t.tokens+at.Sub(t.filled).Seconds()*weight)
+		t.filled = at
+	}
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// mayRun reports whether the team's limit allows size more.
+func (p *Planner) mayRun(name model.TeamName, size model.Resources) bool {
+	if p.catalog == nil {
+		return false
+	}
+	config := p.catalog.Teams[name]
+	if config == nil {
+		// The team has left the configuration after its job was accepted, or
+		// the queue is open to all: no limit is known.
+		return true
+	}
+	running := p.teamOf(name).running
+	for i, limit := range config.Limit {
+		if limit > 0 && running[i]+size[i] > limit {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/planner/place.go
@@ -0,0 +1,293 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+const (
+	// adviceRetry is the pause after a question that got no answer.
+	adviceRetry = 100 * time.Millisecond
+	// adviceMax is the most endpoints that one question may name.
+	adviceMax = 100
+	// adviceSpare is how many times the room needed a question covers, since
+	// good endpoints may be full.
+	adviceSpare = 2.5
+	// adviceLeast is the least number of endpoints that a question names.
+	adviceLeast = 8
+	// adviceWiden is how long a step waits for room on its good endpoints
+	// before others are asked about.
+	adviceWiden = 600 * time.Millisecond
+	// goodAtFirst is the share of good endpoints taken before any answer.
+	goodAtFirst = 0.4
+	// reservationTime bounds the life of a reservation: stops and a question
+	// about tickets are over by then.
+	reservationTime = 3500 * time.Millisecond
+)
+
+// place reserves room for the pending tasks of the step as far as there is any.
+func (p *Planner) place(s *step) {
+	queue := p.queueOf(s.job)
+	if queue == nil || p.now.Before(s.retryAt) {
+		return
+	}
+	candidates := p.candidates(s, queue)
+	if candidates == nil {
+		return
+	}
+	placed := false
+	if s.Gang {
+		placed = p.placeGang(s, candidates)
+	} else {
+		placed = p.placeTasks(s, candidates)
+	}
+	if !placed && queue.Advice != nil {
+		p.widen(s, queue)
+	}
+}
+
+// candidates returns the endpoints that the step may run on; nil while advice
+// is outstanding.
+func (p *Planner) candidates(s *step, queue *catalog.Queue) []*endpoint {
+	if queue.Advice != nil && len(s.advice.asked) == 0 {
+		if !s.advice.outstanding {
+			p.ask(s, queue, p.toAsk(s, queue))
+		}
+		return nil
+	}
+	list := []*endpoint{}
+	for _, e := range p.sortedEndpoints() {
+		if queue.Advice != nil {
+			if known, found := s.advice.good[e.ID]; !found || known.born != e.Born {
+				continue
+			}
+		}
+		if p.suits(s, e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// toAsk chooses the endpoints to ask about: those with most room first.
+func (p *Planner) toAsk(s *step, queue *catalog.Queue) []*endpoint {
+	size := s.Committed()
+	var list []*endpoint
+	room := map[*endpoint]int{}
+	most := 1
+	for _, e := range p.sortedEndpoints() {
+		if s.advice.asked[e.ID] || !p.suits(s, e) || !sizeFits(size, e.Capacity) {
+			continue
+		}
+		room[e] = slots(size, p.claimable(e, queue.Priority))
+		most = max(most, slots(size, e.Capacity))
+		list = append(list, e)
+	}
+	sort.SliceStable(list, func(i, k int) bool { return room[list[i]] > room[list[k]] })
+	share := max(p.goodRatio(s.job.Queue).or(goodAtFirst), 0.05)
+	needed := int(math.Ceil(adviceSpare*float64(len(s.pending))/(float64(most)*share))) + adviceLeast
+	return list[:min(needed, adviceMax, len(list))]
+}
+
+// widen asks about further endpoints when the good ones have had no room for a
+// while.
+func (p *Planner) widen(s *step, queue *catalog.Queue) {
+	if s.advice.outstanding || p.now.Sub(s.advice.askedAt) < adviceWiden {
+		return
+	}
+	p.ask(s, queue, p.toAsk(s, queue))
+}
+
+func (p *Planner) goodRatio(queue jobs.QueueName) *ratio {
+	r := p.good[queue]
+	if r == nil {
+		r = &ratio{}
+		p.good[queue] = r
+	}
+	return r
+}
+
+func (r *ratio) or(fallback float64) float64 {
+	if r.count == 0 {
+		return fallback
+	}
+	return r.value
+}
+
+// placeTasks places single tasks. It reports whether none is left over for want
+// of room.
+func (p *Planner) placeTasks(s *step, candidates []*endpoint) bool {
+	size := s.Committed()
+	for _, t := range slices.Clone(s.pending) {
+		if !p.mayRun(s.job.Team, size) {
+			return true
+		}
+		e := p.bestFor(s, t, candidates)
+		if e == nil {
+			e = p.makeRoom(s, candidates)
+		}
+		if e == nil {
+			return false
+		}
+		p.newRun(t, e, t.nextNumber())
+	}
+	return true
+}
+
+// nextNumber returns the number of the task's next run.
+func (t *task) nextNumber() int {
+	t.number++
+	return int(t.step.job.p.epoch-1)*runsPerEpoch + t.number
+}
+
+// bestFor returns the endpoint with the least room left over that takes the
+// task; nil when none has room.
+func (p *Planner) bestFor(s *step, t *task, candidates []*endpoint) *endpoint {
+	var best *endpoint
+	bestScore := math.Inf(1)
+	for _, e := range candidates {
+		if !sizeFits(s.Committed(), e.plannedFree()) || s.crowded(e) {
+			continue
+		}
+		if score := p.score(s, t, e); score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// The parts of an endpoint's score; the lowest wins. They are in units of the
+// share of an endpoint's processors that stays free.
+const (
+	// farPenalty is for a rack away from the step's data.
+	farPenalty = 2.0
+	// failedPenalty is for an endpoint where the task has failed.
+	failedPenalty = 4.0
+	// ticketPenalty is for an endpoint whose ticket has run out.
+	ticketPenalty = 1.0
+	// stopPenalty is for room that is still being given up.
+	stopPenalty = 0.5
+)
+
+// score ranks an endpoint for a task: tasks are packed, so that large ones find
+// room.
+func (p *Planner) score(s *step, t *task, e *endpoint) float64 {
+	size := s.Committed()
+	score := 0.0
+	if total := e.Capacity[model.CPU]; total > 0 {
+		score = float64(e.plannedFree()[model.CPU]-size[model.CPU]) / float64(total)
+	}
+	if s.DataRack != "" && s.DataRack != e.Rack {
+		score += farPenalty
+	}
+	if slices.Contains(t.avoided, e.ID) {
+		score += failedPenalty
+	}
+	if !sizeFits(size, e.free()) {
+		score += stopPenalty
+	}
+	if _, valid := s.ticket(e); !valid && len(s.advice.asked) > 0 {
+		score += ticketPenalty
+	}
+	return score
+}
+
+// crowded reports whether the endpoint runs as many tasks of the step as it
+// may.
+func (s *step) crowded(e *endpoint) bool {
+	return s.MaxPerEndpoint > 0 && s.countAt(e) >= s.MaxPerEndpoint
+}
+
+func (s *step) countAt(e *endpoint) int {
+	n := 0
+	for r := range e.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// placeGang places all tasks of a gang or none.
+func (p *Planner) placeGang(s *step, candidates []*endpoint) bool {
+	if len(s.pending) < s.Count {
+		// Members of the last run are not gone yet.
+		return true
+	}
+	if !p.mayRun(s.job.Team, s.Committed().Scale(int64(s.Count))) {
+		return true
+	}
+	seats := p.seats(s, candidates, (*endpoint).plannedFree)
+	if seats == nil {
+		seats = p.seatsByStopping(s, candidates)
+	}
+	if seats == nil {
+		return false
+	}
+	s.gangRuns++
+	number := int(p.epoch-1)*runsPerEpoch + s.gangRuns
+	for i, t := range slices.Clone(s.pending) {
+		p.newRun(t, seats[i], number)
+	}
+	return true
+}
+
+// seats returns an endpoint for each task of the gang, or nil. A gang that
+// wants one rack gets it if a rack has room.
+func (p *Planner) seats(s *step, candidates []*endpoint, room func(*endpoint) model.Resources) []*endpoint {
+	if s.SameRack {
+		for _, rack := range racksOf(candidates) {
+			if found := p.fill(s, onRack(candidates, rack), room); found != nil {
+				return found
+			}
+		}
+	}
+	return p.fill(s, candidates, room)
+}
+
+func (p *Planner) fill(s *step, candidates []*endpoint, room func(*endpoint) model.Resources) []*endpoint {
+	ordered := slices.Clone(candidates)
+	sort.SliceStable(ordered, func(i, k int) bool {
+		return p.score(s, s.tasks[0], ordered[i]) < p.score(s, s.tasks[0], ordered[k])
+	})
+	var chosen []*endpoint
+	for _, e := range ordered {
+		n := slots(s.Committed(), room(e))
+		if s.MaxPerEndpoint > 0 {
+			n = min(n, s.MaxPerEndpoint)
+		}
+		for ; n > 0 && len(chosen) < s.Count; n-- {
+			chosen = append(chosen, e)
+		}
+		if len(chosen) == s.Count {
+			return chosen
+		}
+	}
+	return nil
+}
+
+func racksOf(candidates []*endpoint) []model.RackName {
+	var racks []model.RackName
+	for _, e := range candidates {
+		if !slices.Contains(racks, e.Rack) {
+			racks = append(racks, e.Rack)
+		}
+	}
+	return racks
+}
+
+func onRack(candidates []*endpoint, rack model.RackName) []*endpoint {
+	var list []*endpoint
+	for _, e := range candidates {
+		if e.Rack == rack {
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,279 @@
+// Package planner decides for the whole cell which task runs where and who
+// waits. It is told what happened and the time, and returns a plan; the plan is
+// carried out elsewhere. It imports no transport, codec or clock and belongs to
+// one duty, so that it needs no locks.
+package planner
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+// runsPerEpoch parts the run numbers of two holders: a task has far fewer runs
+// within one epoch.
+const runsPerEpoch = 1000
+
+// Start is a run to be started.
+type Start struct {
+	Run      jobs.RunID
+	Endpoint model.EndpointID
+	// Spec, Saved and Ticket go with the order.
+	Spec, Saved, Ticket string
+	// Queue, Team and Waited are for logs and metrics.
+	Queue  jobs.QueueName
+	Team   model.TeamName
+	Waited time.Duration
+}
+
+// Stop is a run to be stopped.
+type Stop struct {
+	Run      jobs.RunID
+	Endpoint model.EndpointID
+	// Reason says why, in a few words.
+	Reason string
+}
+
+// Question asks which endpoints may run a step.
+type Question struct {
+	Step      jobs.StepID
+	Endpoints []model.EndpointID
+	// Cost is the time that the advice service takes.
+	Cost time.Duration
+	// Priority and Due order the questions.
+	Priority int
+	Due      time.Time
+}
+
+// Outcome is the final state of a job.
+type Outcome struct {
+	Job    jobs.ID
+	State  jobs.State
+	Reason string
+	// Took is the time since it was accepted.
+	Took  time.Duration
+	Queue jobs.QueueName
+	Team  model.TeamName
+}
+
+// Plan is what has been decided since the last one was taken.
+type Plan struct {
+	Starts    []Start
+	Stops     []Stop
+	Questions []Question
+	// Outcomes are jobs whose final state is known.
+	Outcomes []Outcome
+	// Changed are jobs whose progress has to be recorded.
+	Changed []jobs.ID
+	// Removed are jobs that have a final state and nothing running.
+	Removed []jobs.ID
+}
+
+// Planner holds the jobs, endpoints and runs of the cell.
+type Planner struct {
+	now       time.Time
+	wall      int64
+	epoch     uint64
+	catalog   *catalog.Catalog
+	evacuated map[model.DomainName]bool
+	endpoints map[model.EndpointID]*endpoint
+	jobs      map[jobs.ID]*job
+	teams     map[model.TeamName]*team
+	runs      map[jobs.RunID]*run
+	open      map[*step]bool
+	scheduled map[*job]bool
+	reserved  map[*run]bool
+	plan      Plan
+	dirty     bool
+	listings  uint64
+	good      map[jobs.QueueName]*ratio
+}
+
+// New returns a planner that acts as the holder of the epoch.
+func New(epoch uint64) *Planner {
+	return &Planner{
+		epoch:     epoch,
+		evacuated: map[model.DomainName]bool{},
+		endpoints: map[model.EndpointID]*endpoint{},
+		jobs:      map[jobs.ID]*job{},
+		teams:     map[model.TeamName]*team{},
+		runs:      map[jobs.RunID]*run{},
+		open:      map[*step]bool{},
+		scheduled: map[*job]bool{},
+		reserved:  map[*run]bool{},
+		good:      map[jobs.QueueName]*ratio{},
+	}
+}
+
+// Clock sets the time of what is told next: now on a steady clock, wall in Unix
+// milliseconds.
+func (p *Planner) Clock(now time.Time, wall int64) { p.now, p.wall = now, wall }
+
+// SetCatalog takes a configuration in force.
+func (p *Planner) SetCatalog(c *catalog.Catalog) {
+	p.catalog = c
+	p.dirty = true
+}
+
+// SetEvacuated says whether a failure domain is taken out.
+func (p *Planner) SetEvacuated(domain model.DomainName, out bool) {
+	if out {
+		p.evacuated[domain] = true
+	} else {
+		delete(p.evacuated, domain)
+	}
+	p.dirty = true
+}
+
+// Take returns what has been decided; the planner starts a new plan.
+func (p *Planner) Take() Plan {
+	taken := p.plan
+	p.plan = Plan{}
+	return taken
+}
+
+// Waiting counts by queue the jobs of which nothing has started and that are
+// not scheduled for a time.
+func (p *Planner) Waiting() map[jobs.QueueName]int {
+	waiting := map[jobs.QueueName]int{}
+	for _, j := range p.jobs {
+		if !j.begun && !j.closing() && j.Occurrences == 0 {
+			waiting[j.Queue]++
+		}
+	}
+	return waiting
+}
+
+// Stats are numbers for logs and metrics.
+type Stats struct {
+	Jobs, Runs, Reserved, Pending int
+	Usable, Endpoints             int
+	CPUUsed, CPUTotal             int64
+}
+
+// Stats counts what the planner holds.
+func (p *Planner) Stats() Stats {
+	s := Stats{Jobs: len(p.jobs), Runs: len(p.runs), Reserved: len(p.reserved), Endpoints: len(p.endpoints)}
+	for st := range p.open {
+		s.Pending += len(st.pending)
+	}
+	for _, e := range p.endpoints {
+		if e.usable() {
+			s.Usable++
+		}
+		s.CPUUsed += e.used[model.CPU]
+		s.CPUTotal += e.Capacity[model.CPU]
+	}
+	return s
+}
+
+// Decide plans what can be started now. Between two calls without news it has
+// nothing to do but what time alone brings about.
+func (p *Planner) Decide() {
+	p.openOccurrences()
+	p.withdrawStale()
+	p.watchProgress()
+	for _, s := range p.inOrder() {
+		p.place(s)
+	}
+	p.dispatchReserved()
+	p.renewTickets()
+	p.dirty = false
+}
+
+// Dirty reports whether something happened since the last Decide.
+func (p *Planner) Dirty() bool { return p.dirty }
+
+// inOrder returns the open steps that have pending tasks, the first served
+// first.
+func (p *Planner) inOrder() []*step {
+	var list []*step
+	for s := range p.open {
+		if len(s.pending) > 0 && !s.job.held && !s.job.closing() {
+			s.rank = p.rankOf(s)
+			list = append(list, s)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].rank.before(list[k].rank) })
+	return list
+}
+
+// placeable returns the team's, the queue's and the step's word on whether
+// anything of the step can be placed.
+func (p *Planner) queueOf(j *job) *catalog.Queue {
+	if p.catalog == nil {
+		return nil
+	}
+	return p.catalog.Queues[j.Queue]
+}
+
+// ask adds a question about the step.
+func (p *Planner) ask(s *step, q *catalog.Queue, endpoints []*endpoint) {
+	if len(endpoints) == 0 {
+		return
+	}
+	ids := make([]model.EndpointID, 0, len(endpoints))
+	for _, e := range endpoints {
+		ids = append(ids, e.ID)
+		s.advice.asked[e.ID] = true
+	}
+	s.advice.outstanding = true
+	s.advice.askedAt = p.now
+	p.plan.Questions = append(p.plan.Questions, Question{
+		Step: s.id, Endpoints: ids, Cost: q.Advice.Cost(len(ids)), Priority: q.Priority, Due: s.rank.due,
+	})
+}
+
+// Started says that the endpoint has confirmed the start.
+func (p *Planner) Started(id jobs.RunID) { p.fire(id, evConfirm) }
+
+// Refused says that the endpoint has refused the start: it never runs.
+func (p *Planner) Refused(id jobs.RunID, why error) {
+	r := p.runs[id]
+	if r == nil {
+		return
+	}
+	r.task.step.forgetTicket(r.at.ID)
+	r.at.noteRefusal(p.now, why)
+	p.fire(id, evRefused)
+}
+
+// Unanswered says that a start or a stop got no answer.
+func (p *Planner) Unanswered(id jobs.RunID) { p.fire(id, evSilence) }
+
+// StopConfirmed says that the endpoint has taken the stop.
+func (p *Planner) StopConfirmed(id jobs.RunID) { p.fire(id, evStopConfirmed) }
+
+func (p *Planner) fire(id jobs.RunID, event runEvent) {
+	if r := p.runs[id]; r != nil {
+		r.fire(event)
+	}
+	p.dirty = true
+}
+
+// Live reports whether the run has not ended.
+func (p *Planner) Live(id jobs.RunID) bool { return p.runs[id] != nil }
+
+// sortedEndpoints returns the endpoints in the order of their names, so that
+// plans do not depend on the order of maps.
+func (p *Planner) sortedEndpoints() []*endpoint {
+	list := make([]*endpoint, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
+	return list
+}
+
+// Endpoint returns what is known of an endpoint.
+func (p *Planner) Endpoint(id model.EndpointID) (fleet.Endpoint, bool) {
+	e := p.endpoints[id]
+	if e == nil {
+		return fleet.Endpoint{}, false
+	}
+	return e.Endpoint, true
+}
--- /dev/null
+++ b/planner/run.go
@@ -0,0 +1,290 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/chart"
+	"github.com/hornbeamworks/hornbeam/charts"
+	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+// run is one run of a task, from its reservation to its end.
+type run struct {
+	id    jobs.RunID
+	task  *task
+	at    *endpoint
+	size  model.Resources
+	state chart.State
+	// since is when the state was entered, answered the time of the last
+	// answer about it: a listing asked for later has to show it.
+	since, answered time.Time
+	// reason says why it is being stopped.
+	reason string
+	// percent is its progress, movedAt when that last changed.
+	percent float64
+	movedAt time.Time
+	// listing is the last listing that showed it.
+	listing uint64
+	// leaving says that its room will be free before long.
+	leaving bool
+}
+
+type runEvent = chart.Event
+
+var runsChart *chart.Machine[run]
+
+var (
+	evDispatch, evConfirm, evSighted, evRefused, evSilence, evStop        runEvent
+	evStopConfirmed, evEnd, evAbsent, evLapse, evReborn                   runEvent
+	runReserved, runStarting, runRunning, runStopping, runEnding, runGone chart.State
+)
+
+func init() {
+	runsChart = chart.MustBind(charts.MustLoad("cell_run"),
+		chart.Guards[run]{},
+		chart.Actions[run]{
+			"order_start": (*run).orderStart,
+			"order_stop":  (*run).orderStop,
+		})
+	evDispatch = runsChart.MustEvent("dispatch")
+	evConfirm = runsChart.MustEvent("confirm")
+	evSighted = runsChart.MustEvent("sighted")
+	evRefused = runsChart.MustEvent("refused")
+	evSilence = runsChart.MustEvent("silence")
+	evStop = runsChart.MustEvent("stop")
+	evStopConfirmed = runsChart.MustEvent("stop_confirmed")
+	evEnd = runsChart.MustEvent("end")
+	evAbsent = runsChart.MustEvent("absent")
+	evLapse = runsChart.MustEvent("lapse")
+	evReborn = runsChart.MustEvent("reborn")
+	runReserved = runsChart.MustState("reserved")
+	runStarting = runsChart.MustState("starting")
+	runRunning = runsChart.MustState("running")
+	runStopping = runsChart.MustState("stopping")
+	runEnding = runsChart.MustState("ending")
+	runGone = runsChart.MustState("gone")
+}
+
+// newRun reserves room on the endpoint for a run of the task.
+func (p *Planner) newRun(t *task, e *endpoint, number int) *run {
+	r := &run{
+		id:   jobs.RunID{Task: t.id, Number: number},
+		task: t, at: e, size: t.step.Committed(), since: p.now, movedAt: p.now,
+	}
+	runsChart.Start(&r.state, r)
+	p.runs[r.id] = r
+	p.reserved[r] = true
+	e.add(r)
+	p.teamOf(t.step.job.Team).running = p.teamOf(t.step.job.Team).running.Add(r.size)
+	t.step.job.live++
+	if t.run == nil {
+		t.run = r
+	} else {
+		t.copy = r
+	}
+	t.step.drop(t)
+	t.fire(evTaskAssign)
+	return r
+}
+
+// fire moves the run on; a run that is gone gives up its room.
+func (r *run) fire(event runEvent) {
+	before := r.state
+	if !runsChart.Fire(&r.state, event, r) || r.state == before {
+		return
+	}
+	p := r.task.step.job.p
+	p.dirty = true
+	r.since = p.now
+	if event == evConfirm || event == evStopConfirmed || event == evSighted {
+		r.answered = p.now
+	}
+	if before == runReserved {
+		delete(p.reserved, r)
+		r.at.dispatched(r)
+	}
+	r.at.countLeaving(r, r.state == runStopping || r.state == runEnding)
+	if r.state == runRunning {
+		r.task.step.job.begin()
+	}
+	if r.state == runGone {
+		p.release(r, event)
+	}
+}
+
+// release gives up what the run has taken. Its task waits again unless the
+// run's end has said otherwise.
+func (p *Planner) release(r *run, event runEvent) {
+	delete(p.runs, r.id)
+	r.at.remove(r)
+	team := p.teamOf(r.task.step.job.Team)
+	team.running = team.running.Sub(r.size)
+	t := r.task
+	if t.run == r {
+		t.run, t.copy = t.copy, nil
+	} else if t.copy == r {
+		t.copy = nil
+	}
+	if event != evEnd && t.run == nil {
+		t.fire(evTaskRelease)
+	}
+	t.step.job.runGone()
+}
+
+func (r *run) orderStart() {
+	p, s := r.task.step.job.p, r.task.step
+	ticket, _ := s.ticket(r.at)
+	p.plan.Starts = append(p.plan.Starts, Start{
+		Run: r.id, Endpoint: r.at.ID, Spec: s.job.Spec, Saved: r.task.checkpoint(), Ticket: ticket,
+		Queue: s.job.Queue, Team: s.job.Team, Waited: p.now.Sub(s.openedAt),
+	})
+}
+
+func (r *run) orderStop() {
+	p := r.task.step.job.p
+	p.plan.Stops = append(p.plan.Stops, Stop{Run: r.id, Endpoint: r.at.ID, Reason: r.reason})
+}
+
+// Listed takes an endpoint's listing. asked is when it was asked for. Runs that
+// nobody knows are returned: they are to be stopped.
+func (p *Planner) Listed(id model.EndpointID, l fleet.Listing, asked time.Time) []jobs.RunID {
+	e := p.endpoints[id]
+	if e == nil {
+		return nil
+	}
+	p.listings++
+	p.dirty = true
+	e.listed(p, l.Born)
+	var unknown []jobs.RunID
+	for _, end := range l.Ended {
+		p.ended(e, end)
+	}
+	for _, s := range l.Running {
+		if !p.sighted(e, s) {
+			unknown = append(unknown, s.Run)
+		}
+	}
+	e.strangers = len(unknown) > 0
+	p.findAbsent(e, asked)
+	return unknown
+}
+
+// sighted takes a running task. It returns false when the task is not known.
+func (p *Planner) sighted(e *endpoint, s fleet.Sighting) bool {
+	r := p.runs[s.Run]
+	if r == nil {
+		if r = p.adopt(e, s.Run); r == nil {
+			return false
+		}
+	}
+	if r.at != e {
+		return true
+	}
+	r.listing = p.listings
+	if s.Percent != r.percent {
+		r.percent, r.movedAt = s.Percent, p.now
+	}
+	r.task.keepCheckpoint(s.Saved)
+	r.fire(evSighted)
+	return true
+}
+
+// adopt takes over a run that a former holder started.
+func (p *Planner) adopt(e *endpoint, id jobs.RunID) *run {
+	t := p.task(id.Task)
+	if t == nil || t.state == taskDone || t.step.job.closing() || (t.run != nil && t.copy != nil) {
+		return nil
+	}
+	if t.run != nil && !t.step.Copies {
+		return nil
+	}
+	r := p.newRun(t, e, id.Number)
+	if t.step.Gang {
+		t.step.gangRuns = max(t.step.gangRuns, id.Number)
+	}
+	return r
+}
+
+func (p *Planner) task(id jobs.TaskID) *task {
+	j := p.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	for j.opened <= id.Occurrence && j.opened < j.Runs() {
+		j.openOccurrence()
+	}
+	s := j.step(id.Occurrence, id.Step)
+	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+// ended takes the end of a run, which may be a run of a former holder or one
+// that has been given up.
+func (p *Planner) ended(e *endpoint, end fleet.End) {
+	r := p.runs[end.Run]
+	if r != nil && r.at != e {
+		return
+	}
+	t := p.task(end.Run.Task)
+	if t == nil {
+		return
+	}
+	t.keepCheckpoint(end.Saved)
+	var result chart.Event
+	switch end.Outcome {
+	case fleet.Succeeded:
+		result = evTaskSucceed
+		e.noteSuccess()
+	case fleet.RunFailed:
+		result = evTaskFail
+		p.noteFailed(t, e, end.Run.Number)
+	default:
+		result = evTaskRelease
+	}
+	p.settle(t, r, result)
+}
+
+// settle ends the run, if it is live, and tells the task.
+func (p *Planner) settle(t *task, r *run, result chart.Event) {
+	if r == nil && result == evTaskRelease {
+		return
+	}
+	if r != nil {
+		t.step.job.live++ // The job must not be idle before the task is told.
+		r.fire(evEnd)
+	}
+	if result == evTaskSucceed {
+		t.fire(result)
+		t.stopOthers(nil, "another run of the task succeeded")
+	} else if t.run == nil {
+		t.fire(result)
+	} else if result == evTaskFail && !t.mayRetry() {
+		t.noteExhausted()
+	}
+	if r != nil {
+		t.step.job.runGone()
+	}
+}
+
+func (p *Planner) noteFailed(t *task, e *endpoint, number int) {
+	first := len(t.counted().failed) == 0
+	if t.noteFailure(number, e.ID) {
+		e.noteFailure(p, first)
+	}
+}
+
+// findAbsent ends the runs that the listing should have shown.
+func (p *Planner) findAbsent(e *endpoint, asked time.Time) {
+	for _, r := range e.runList() {
+		if r.listing == p.listings || r.answered.IsZero() || !r.answered.Before(asked) {
+			continue
+		}
+		if r.state == runRunning || r.state == runEnding {
+			r.fire(evAbsent)
+		}
+	}
+}
--- a/storage/platform.go
+++ b/storage/platform.go
@@ -24,7 +24,8 @@
 	ErrUnavailable = eris.New("platform service unavailable")
 )
 
-// RowVersion counts the writes of a row, from 1; 0 stands for no row.
+// RowVersion orders the writes of a row; each has a higher one than the last.
+// 0 stands for no row.
 type RowVersion uint64
 
 // Row is a row of the table.
@@ -33,7 +34,7 @@
 	Key string `json:"key"`
 	// Value is the row's content.
 	Value []byte `json:"value"`
-	// Version counts the row's writes.
+	// Version is the version of the row's last write.
 	Version RowVersion `json:"version"`
 }
 
