Record runs before they are ordered; reach the table through other instances

Ruled out: the order of recording and forgetting ends, which held.

Change: a run is in the job's progress before its start is sent, and a successor takes it over as inherited; endpoints are known from the roster. SIGHUP reloads. An instance that the table turns away uses another one.

--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -17,10 +17,12 @@
 	"github.com/hornbeamworks/hornbeam/feed"
 	"github.com/hornbeamworks/hornbeam/front"
 	"github.com/hornbeamworks/hornbeam/holder"
+	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
 	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/process"
+	"github.com/hornbeamworks/hornbeam/relay"
 	"github.com/hornbeamworks/hornbeam/view"
 )
 
@@ -44,6 +46,8 @@
 	ctx         context.Context
 	incarnation string
 	table       *platform.Table
+	relayed     *relay.Table
+	directory   *instances.Directory
 	holder      *holder.Holder
 	election    *election.Election
 	view        *view.View
@@ -79,11 +83,16 @@
 		peers:       peerrpc.NewServer(),
 	}
 	n.ctx = n.process.Group().Context()
+	n.directory = instances.New(n.ctx, instances.Options{
+		Instance: s.Node.Name, Row: instances.Row{Address: s.Listen.Peers, Incarnation: n.incarnation},
+		Table: n.table, Log: log, Sink: func(addresses []string) { n.holder.SetInstances(addresses) },
+	})
+	n.relayed = relay.New(n.table, callers, n.directory.Others, clock.Boot{}, log)
 	n.asker = advice.New(n.ctx, platform.NewAdvisor(s.Advice.Address), callers)
 	n.addHolder()
 	n.view = view.New(platform.Source{}, n.holder, clock.Boot{}, log)
 	n.front = front.New(n.ctx, front.Options{
-		Lanes: holder.Lanes(s.Table.Lanes), View: n.view, Table: n.table,
+		Lanes: holder.Lanes(s.Table.Lanes), View: n.view, Table: n.relayed,
 		Clock: clock.Boot{}, Wall: clock.System{}, Log: log,
 	})
 	return n
@@ -95,7 +104,8 @@
 		Node: s.Node.Name, Lanes: holder.Lanes(s.Table.Lanes), MaxLease: s.Cell.MaxLease,
 	}, holder.Outside{
 		Table: n.table, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: n.asker,
-		Clock: clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Start,
+		Instances: n.directory.Others,
+		Clock:     clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Start,
 	})
 	n.election = election.New(n.ctx, election.Options{
 		Node: s.Node.Name, Incarnation: n.incarnation, CPUShare: s.Runtime.CPUShare,
@@ -108,6 +118,9 @@
 	if err := n.asker.Register(n.peers); err != nil {
 		return err
 	}
+	if err := relay.Serve(n.peers, n.table); err != nil {
+		return err
+	}
 	peers, err := net.Listen("tcp", n.settings.Listen.Peers)
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
@@ -178,9 +191,24 @@
 	operators := platform.Source{}.OperatorTable()
 	follow := feed.New(n.ctx, feed.Options{
 		ID: "operator_feed", Table: operators, Prefixes: []string{operators + "//"},
-		Source: n.table, Clock: clock.Boot{}, Log: n.log, Sink: n.view.Update,
+		Source: n.relayed, Clock: clock.Boot{}, Log: n.log, Sink: n.view.Update,
 	})
 	n.process.Start(n.front.Duties()...)
-	n.process.Start(n.asker, n.holder, follow, n.election, newRegistrar(n))
+	n.process.Start(n.asker, n.holder, follow, n.election, n.directory)
+	n.process.OnReload(n.reload)
 	n.process.Configured()
 }
+
+// reload takes over the settings that can change while the process runs: the
+// log level. It keeps the old ones if the file is wrong.
+func (n *node) reload() {
+	fresh, err := loadSettings(n.settings.file)
+	if err == nil {
+		err = n.log.SetLevel(fresh.Log.Level)
+	}
+	if err != nil {
+		n.log.Error("settings_not_reloaded", slog.Any("error", err))
+		return
+	}
+	n.log.Info("settings_reloaded", slog.String("level", fresh.Log.Level))
+}
--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -22,6 +22,9 @@
 	Drain   drainSection     `ini:"drain"`
 	Log     logging.Settings `ini:"log"`
 	Runtime runtimeSection   `ini:"runtime"`
+
+	// file is where the settings were read.
+	file string
 }
 
 // nodeSection says who the instance is.
@@ -100,6 +103,7 @@
 	if err := settings.Load(file, s); err != nil {
 		return nil, err
 	}
+	s.file = file
 	if !s.Table.Across {
 		s.Table.Lanes = 1
 	}
--- a/holder/consult.go
+++ b/holder/consult.go
@@ -192,47 +192,13 @@
 	c.planner.Advised(m.question, m.tickets, m.answered)
 }
 
-// nodeReader reads the other instances from time to time.
-type nodeReader struct {
-	*duty.Duty[struct{}]
-	h *Holder
-	c *cell
-}
-
-func (r *nodeReader) handle([]struct{}) time.Duration {
-	if r.c.ctx.Err() != nil {
-		r.Stop()
-		return duty.Never
-	}
-	ctx, cancel := context.WithTimeout(r.c.ctx, adviceTimeout)
-	defer cancel()
-	found, err := r.h.Table.Scan(ctx, NodesTable+"//")
-	if err != nil {
-		r.h.Log.Warn("nodes_not_read", slog.Any("error", err))
-		return nodesPeriod
-	}
-	var addresses []string
-	for _, row := range found.Rows {
-		var node Node
-		if err := json.Unmarshal(row.Value, &node); err != nil {
-			r.h.Log.Error("node_unreadable", slog.String("key", row.Key), slog.Any("error", err))
-			continue
-		}
-		if string(idOf(row.Key)) != r.h.Node {
-			addresses = append(addresses, node.Address)
-		}
-	}
-	r.h.tell(nodesMessage{epoch: r.c.epoch, addresses: addresses})
-	return nodesPeriod
-}
+// SetInstances takes the peer addresses of the other instances.
+func (h *Holder) SetInstances(addresses []string) { h.tell(instancesMessage{addresses}) }
 
-type nodesMessage struct {
-	epoch     uint64
-	addresses []string
-}
+type instancesMessage struct{ addresses []string }
 
-func (m nodesMessage) apply(h *Holder) {
-	if h.cell != nil && h.cell.epoch == m.epoch && actingStates.Has(h.state) {
+func (m instancesMessage) apply(h *Holder) {
+	if actingStates.Has(h.state) {
 		h.cell.consults.setInstances(h, m.addresses)
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -59,6 +59,8 @@
 	Registry Registry
 	Command  fleet.Commander
 	Advice   Adviser
+	// Instances returns the peer addresses of the other instances.
+	Instances func() []string
 	// Clock is steady, Wall tells the date.
 	Clock, Wall clock.Clock
 	Log         *logging.Logger
@@ -102,10 +104,8 @@
 	planner  *planner.Planner
 	restored *restored
 	links    map[model.EndpointID]*link
-	// roster are the endpoints to be listed, enlisted those that the recorded
-	// roster has: only they are given work.
+	// roster are the endpoints that a successor has to list.
 	roster   map[model.EndpointID]rosterEntry
-	enlisted map[model.EndpointID]bool
 	couriers []*courier
 	consults *consults
 	recorder *recorder
@@ -115,17 +115,16 @@
 	queues   map[jobs.QueueName]int
 	queuesAt time.Time
 	statsAt  time.Time
-	// inherited are the endpoints of the former holder that have been neither
-	// listed nor waited out; settleBy is when the last of their leases ends.
-	inherited map[model.EndpointID]bool
-	settleBy  time.Time
+	// inheritedEnd is when the last lease that a former holder renewed has
+	// certainly ended.
+	inheritedEnd time.Time
 }
 
 var machine *chart.Machine[Holder]
 
-var evElected, evRestored, evSettled, evDeposed chart.Event
+var evElected, evRestored, evDeposed chart.Event
 
-var actingStates, settlingStates chart.StateSet
+var actingStates chart.StateSet
 
 func init() {
 	machine = chart.MustBind(charts.MustLoad("holder"),
@@ -133,15 +132,12 @@
 		chart.Actions[Holder]{
 			"begin_restore": (*Holder).beginRestore,
 			"take_over":     (*Holder).takeOver,
-			"release_held":  func(h *Holder) { h.cell.planner.ReleaseHeld() },
 			"forget_cell":   (*Holder).forgetCell,
 		})
 	evElected = machine.MustEvent("elected")
 	evRestored = machine.MustEvent("restored")
-	evSettled = machine.MustEvent("settled")
 	evDeposed = machine.MustEvent("deposed")
-	actingStates = machine.MustSet("settling", "deciding")
-	settlingStates = machine.MustSet("settling")
+	actingStates = machine.MustSet("deciding")
 }
 
 var (
@@ -207,9 +203,7 @@
 // carryOut sends the plan's orders and notes what has to be recorded.
 func (h *Holder) carryOut(plan planner.Plan) {
 	c := h.cell
-	for _, s := range plan.Starts {
-		h.orderStart(s)
-	}
+	c.recorder.starts = append(c.recorder.starts, plan.Starts...)
 	for _, s := range plan.Stops {
 		h.orderStop(s)
 	}
--- a/holder/links.go
+++ b/holder/links.go
@@ -77,7 +77,11 @@
 
 func (h *Holder) addLink(id model.EndpointID, address string) *link {
 	c := h.cell
-	l := &link{id: id, address: address}
+	l := &link{id: id, address: address, leaseEnds: c.inheritedEnd}
+	if _, known := c.planner.Endpoint(id); !known {
+		// It takes no work until its registry entry has been read.
+		c.planner.SetEndpoint(fleet.Endpoint{ID: id, Address: address, Leaving: true})
+	}
 	epoch := c.epoch
 	l.listener = &listener{}
 	l.listener.Duty = duty.New("listener", 2, duty.HandlerFunc[fleet.Renewal](func(batch []fleet.Renewal) time.Duration {
@@ -111,7 +115,6 @@
 			h.renew(l)
 		}
 	}
-	h.checkSettled()
 }
 
 func sortedLinks(links map[model.EndpointID]*link) []model.EndpointID {
@@ -166,16 +169,9 @@
 		c.planner.SetEndpoint(l.info)
 		h.Log.Info("endpoint_removed", slog.String("endpoint", string(l.id)), slog.Duration("missing", h.now.Sub(l.missing)))
 	}
-	ends := l.leaseEnds
-	if c.inherited[l.id] && c.settleBy.After(ends) {
-		ends = c.settleBy
-	}
-	if l.failures == 0 || h.now.Before(ends) {
+	if l.failures == 0 || h.now.Before(l.leaseEnds) {
 		return
 	}
-	if c.inherited[l.id] {
-		delete(c.inherited, l.id)
-	}
 	c.planner.Lapsed(l.id)
 	if !l.missing.IsZero() && h.now.Sub(l.missing) > removalGrace && c.planner.RemoveEndpoint(l.id) {
 		h.removeLink(l)
@@ -188,20 +184,11 @@
 	delete(c.links, l.id)
 	if _, listed := c.roster[l.id]; listed {
 		delete(c.roster, l.id)
-		delete(c.enlisted, l.id)
 		c.recorder.rosterChanged = true
 	}
 	h.Log.Info("endpoint_forgotten", slog.String("endpoint", string(l.id)))
 }
 
-// checkSettled lets the former holder's jobs go on once no endpoint can run
-// tasks of theirs unseen.
-func (h *Holder) checkSettled() {
-	if settlingStates.Has(h.state) && len(h.cell.inherited) == 0 {
-		h.fire(evSettled)
-	}
-}
-
 // listedMessage is an endpoint's answer.
 type listedMessage struct {
 	epoch           uint64
@@ -250,22 +237,6 @@
 	for _, run := range c.planner.Listed(l.id, fresh, m.asked) {
 		h.stopStranger(l, run)
 	}
-	delete(c.inherited, l.id)
-}
-
-// enlist lets the endpoints of the recorded roster be given work.
-func (h *Holder) enlist(recorded []model.EndpointID) {
-	c := h.cell
-	for _, id := range recorded {
-		l := c.links[id]
-		if l == nil || c.enlisted[id] {
-			continue
-		}
-		c.enlisted[id] = true
-		if l.info.ID != "" {
-			c.planner.SetEndpoint(l.info)
-		}
-	}
 }
 
 func (h *Holder) logEnd(l *link, e fleet.End) {
@@ -290,7 +261,6 @@
 	if eris.Is(err, fleet.ErrOtherEndpoint) {
 		// Another endpoint has the address, so that this one's process is over.
 		l.leaseEnds = h.now
-		delete(c.inherited, l.id)
 		c.planner.Lapsed(l.id)
 	}
 }
@@ -354,9 +324,7 @@
 			slog.String("domain", string(info.Domain)), slog.Bool("leaving", info.Leaving), slog.Int64("born", info.Born))
 	}
 	l.info, l.address, l.missing = info, info.Address, time.Time{}
-	if c.enlisted[info.ID] {
-		c.planner.SetEndpoint(info)
-	}
+	c.planner.SetEndpoint(info)
 	if _, known := c.roster[info.ID]; !known {
 		c.roster[info.ID] = rosterEntry{ID: info.ID, Address: info.Address, Domain: info.Domain}
 		c.recorder.rosterChanged = true
--- a/holder/orders.go
+++ b/holder/orders.go
@@ -84,6 +84,10 @@
 }
 
 func (h *Holder) orderStart(s planner.Start) {
+	if !h.cell.planner.Ordered(s.Run) {
+		// It has been stopped while it was being recorded.
+		return
+	}
 	l := h.cell.links[s.Endpoint]
 	if l == nil || l.clock == 0 || !h.mayAct() {
 		h.cell.planner.Refused(s.Run, fleet.ErrRefused)
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -43,10 +43,11 @@
 	gone    map[jobs.ID]time.Time
 	begun   map[jobs.ID]bool
 	queues  map[jobs.QueueName]int
-	// rosterChanged says that the roster has to be written; enlisting are the
-	// endpoints in the one under way.
+	// rosterChanged says that the roster has to be written.
 	rosterChanged bool
-	enlisting     []model.EndpointID
+	// starts wait for their runs to be recorded, recording are the starts whose
+	// runs the write under way records.
+	starts, recording []planner.Start
 	// seen are the ends that the write under way covers, by endpoint.
 	seen map[model.EndpointID]recordedEnds
 }
@@ -152,11 +153,7 @@
 	var writes []storage.Write
 	if r.rosterChanged {
 		r.rosterChanged = false
-		row := rosterRow(h.cell.roster)
-		writes = append(writes, put(rosterKey, row))
-		for _, e := range row.Endpoints {
-			r.enlisting = append(r.enlisting, e.ID)
-		}
+		writes = append(writes, put(rosterKey, rosterRow(h.cell.roster)))
 	}
 	if r.queues != nil {
 		writes = append(writes, put(QueuesKey, Queues{Waiting: r.queues}))
@@ -168,9 +165,24 @@
 		}
 		writes = append(writes, r.rowsOf(h, id)...)
 	}
+	r.takeStarts()
 	return writes
 }
 
+// takeStarts parts the waiting starts: those whose jobs are in the write under
+// way are sent once it is done.
+func (r *recorder) takeStarts() {
+	var left []planner.Start
+	for _, s := range r.starts {
+		if r.changed[s.Run.Task.Job] {
+			left = append(left, s)
+		} else {
+			r.recording = append(r.recording, s)
+		}
+	}
+	r.starts = left
+}
+
 // rowsOf returns the writes of one job.
 func (r *recorder) rowsOf(h *Holder, id jobs.ID) []storage.Write {
 	var writes []storage.Write
@@ -247,8 +259,10 @@
 	if c := h.cell; c != nil && c.epoch == m.epoch {
 		c.recorder.busy = false
 		c.recorder.forgetEnds(h)
-		h.enlist(c.recorder.enlisting)
-		c.recorder.enlisting = nil
+		for _, s := range c.recorder.recording {
+			h.orderStart(s)
+		}
+		c.recorder.recording = nil
 	}
 }
 
--- a/holder/records.go
+++ b/holder/records.go
@@ -18,8 +18,6 @@
 	StatusTable = "status"
 	// progressTable holds what outlasts the holder of a job under way.
 	progressTable = "progress"
-	// NodesTable holds the instances' peer addresses.
-	NodesTable = "nodes"
 	// QueuesKey is the row of the waiting jobs.
 	QueuesKey = "cell//queues"
 	rosterKey = "cell//roster"
@@ -94,12 +92,6 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-// Node is the row of an instance.
-type Node struct {
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
-}
-
 // Encode returns a row of plain fields, which always encode.
 func Encode(row any) []byte {
 	raw, err := json.Marshal(row)
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -27,15 +27,12 @@
 	jobsPause = 4 * time.Millisecond
 	// registryPause is the same for the endpoints' entries.
 	registryPause = 100 * time.Millisecond
-	// nodesPeriod is how often the instances are read.
-	nodesPeriod = 3 * time.Second
 )
 
 // restored is what a successor has read.
 type restored struct {
 	epoch    uint64
 	jobs     map[jobs.ID]*jobs.Job
-	versions map[jobs.ID]storage.RowVersion
 	progress map[jobs.ID]*jobs.Progress
 	roster   roster
 	record   storage.RowVersion
@@ -82,15 +79,13 @@
 func (h *Holder) beginRestore() {
 	ctx, cancel := context.WithCancel(h.ctx)
 	c := &cell{
-		epoch:     h.elected.Epoch,
-		ctx:       ctx,
-		cancel:    cancel,
-		planner:   planner.New(h.elected.Epoch),
-		links:     map[model.EndpointID]*link{},
-		roster:    map[model.EndpointID]rosterEntry{},
-		enlisted:  map[model.EndpointID]bool{},
-		inherited: map[model.EndpointID]bool{},
-		consults:  newConsults(),
+		epoch:    h.elected.Epoch,
+		ctx:      ctx,
+		cancel:   cancel,
+		planner:  planner.New(h.elected.Epoch),
+		links:    map[model.EndpointID]*link{},
+		roster:   map[model.EndpointID]rosterEntry{},
+		consults: newConsults(),
 	}
 	h.cell = c
 	c.planner.Clock(h.now, h.Wall.Now().UnixMilli())
@@ -130,23 +125,22 @@
 	for domain := range h.evacuated {
 		c.planner.SetEvacuated(domain, true)
 	}
-	held := 0
-	for id, job := range r.jobs {
-		old := r.versions[id] < h.elected.Version
-		c.planner.AddJob(job, r.progress[id], old)
-		if old {
-			held++
-		}
-	}
+	c.inheritedEnd = h.now.Add(h.leaseBound())
 	for _, e := range r.roster.Endpoints {
 		c.roster[e.ID] = e
-		c.enlisted[e.ID] = true
-		c.inherited[e.ID] = true
 		h.addLink(e.ID, e.Address)
 	}
-	c.settleBy = h.now.Add(h.leaseBound())
+	for id, job := range r.jobs {
+		c.planner.AddJob(job, r.progress[id])
+	}
+	for _, id := range c.planner.Endpoints() {
+		if c.links[id] == nil {
+			// Nobody knows its address: its lease is waited out.
+			h.addLink(id, "")
+		}
+	}
 	h.Log.Info("cell_restored", slog.Uint64("epoch", c.epoch), slog.Int("jobs", len(r.jobs)),
-		slog.Int("held", held), slog.Int("endpoints", len(r.roster.Endpoints)), slog.Uint64("version", uint64(r.from)))
+		slog.Int("endpoints", len(r.roster.Endpoints)), slog.Uint64("version", uint64(r.from)))
 	h.startDuties(r.from)
 }
 
@@ -171,9 +165,7 @@
 		c.feeds = append(c.feeds, f)
 		h.Start(f)
 	}
-	nodes := &nodeReader{h: h, c: c}
-	nodes.Duty = duty.New("node_reader", 1, duty.HandlerFunc[struct{}](nodes.handle))
-	h.Start(nodes)
+	c.consults.setInstances(h, h.Instances())
 }
 
 // jobsMessage are accepted or cancelled jobs.
@@ -232,7 +224,7 @@
 	case p.Known(job.ID) && job.Cancelled:
 		p.CancelJob(job.ID)
 	case !p.Known(job.ID) && !h.cell.recorder.forgotten(job.ID):
-		p.AddJob(job, nil, false)
+		p.AddJob(job, nil)
 	default:
 		return
 	}
@@ -284,7 +276,7 @@
 	defer cancel()
 	found := &restored{
 		epoch: r.epoch, jobs: map[jobs.ID]*jobs.Job{},
-		versions: map[jobs.ID]storage.RowVersion{}, progress: map[jobs.ID]*jobs.Progress{},
+		progress: map[jobs.ID]*jobs.Progress{},
 	}
 	if err := r.readFixed(ctx, found); err != nil {
 		return nil, err
@@ -330,7 +322,7 @@
 				r.h.Log.Error("job_unreadable", slog.String("key", row.Key), slog.Any("error", err))
 				continue
 			}
-			found.jobs[job.ID], found.versions[job.ID] = job, row.Version
+			found.jobs[job.ID] = job
 		}
 	}
 	return nil
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -1,5 +1,7 @@
 package jobs
 
+import "github.com/hornbeamworks/hornbeam/model"
+
 // Progress is what has to outlast the holder of a job that is under way.
 type Progress struct {
 	// Begun says that a task has started.
@@ -22,10 +24,21 @@
 	// Failures are the numbers of the failed runs by task index; a gang counts
 	// as task 0.
 	Failures map[int][]int `json:"failed,omitempty"`
+	// Runs are the tasks' live runs: each is recorded before it is ordered.
+	Runs []RunRecord `json:"runs,omitempty"`
 	// Saved are the last checkpoints by task index.
 	Saved map[int]string `json:"saved,omitempty"`
 }
 
+// RunRecord is a live run.
+type RunRecord struct {
+	// Task is the task's place in the step, Number the run's number.
+	Task   int `json:"t"`
+	Number int `json:"r"`
+	// Endpoint is where it runs.
+	Endpoint model.EndpointID `json:"e"`
+}
+
 // Status is the row that answers questions about a job.
 type Status struct {
 	// State is the job's state.
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -64,9 +64,7 @@
 func (p *Planner) SetEndpoint(info fleet.Endpoint) {
 	e := p.endpoints[info.ID]
 	if e == nil {
-		e = &endpoint{Endpoint: info, runs: map[*run]bool{}}
-		endpointsChart.Start(&e.state, e)
-		p.endpoints[info.ID] = e
+		e = p.addEndpoint(info)
 	}
 	born := e.Born
 	e.Endpoint = info
@@ -77,6 +75,13 @@
 	p.dirty = true
 }
 
+func (p *Planner) addEndpoint(info fleet.Endpoint) *endpoint {
+	e := &endpoint{Endpoint: info, runs: map[*run]bool{}}
+	endpointsChart.Start(&e.state, e)
+	p.endpoints[info.ID] = e
+	return e
+}
+
 // Silent says that the endpoint does not answer.
 func (p *Planner) Silent(id model.EndpointID) { p.fireEndpoint(id, evSilent) }
 
--- a/planner/job.go
+++ b/planner/job.go
@@ -19,8 +19,6 @@
 	begun    bool
 	outcome  jobs.State
 	reason   string
-	// held says that a run of it may be where nobody has looked yet.
-	held bool
 	// steps are those of the occurrences that have been opened; left counts
 	// the ones that are not complete.
 	steps []*step
@@ -56,13 +54,12 @@
 
 func (j *job) closing() bool { return jobClosing.Has(j.state) }
 
-// AddJob takes in an accepted job with its progress; nil for a new one. held
-// says that a former holder may have started tasks of it.
-func (p *Planner) AddJob(accepted *jobs.Job, progress *jobs.Progress, held bool) {
+// AddJob takes in an accepted job with its progress; nil for a new one.
+func (p *Planner) AddJob(accepted *jobs.Job, progress *jobs.Progress) {
 	if p.jobs[accepted.ID] != nil {
 		return
 	}
-	j := &job{Job: accepted, p: p, held: held, accepted: p.acceptedAt(accepted)}
+	j := &job{Job: accepted, p: p, accepted: p.acceptedAt(accepted)}
 	jobsChart.Start(&j.state, j)
 	p.jobs[j.ID] = j
 	j.surplus = !p.teamOf(j.Team).admit(p, j.accepted)
@@ -96,15 +93,6 @@
 // Known reports whether the planner holds the job.
 func (p *Planner) Known(id jobs.ID) bool { return p.jobs[id] != nil }
 
-// ReleaseHeld lets the jobs of the former holder start: every endpoint that may
-// run their tasks has been listed or its lease has ended.
-func (p *Planner) ReleaseHeld() {
-	for _, j := range p.jobs {
-		j.held = false
-	}
-	p.dirty = true
-}
-
 func (j *job) finish(state jobs.State, reason string) {
 	if j.outcome != "" {
 		return
@@ -150,14 +138,6 @@
 	j.p.dirty = true
 }
 
-// begin notes that a task has started.
-func (j *job) begin() {
-	if !j.begun {
-		j.begun = true
-		j.changed()
-	}
-}
-
 // runGone is told when one of the job's runs is gone.
 func (j *job) runGone() {
 	j.live--
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -193,7 +193,7 @@
 func (p *Planner) inOrder() []*step {
 	var list []*step
 	for s := range p.open {
-		if len(s.pending) > 0 && !s.job.held && !s.job.closing() {
+		if len(s.pending) > 0 && !s.job.closing() {
 			s.rank = p.rankOf(s)
 			list = append(list, s)
 		}
@@ -258,6 +258,15 @@
 // Live reports whether the run has not ended.
 func (p *Planner) Live(id jobs.RunID) bool { return p.runs[id] != nil }
 
+// Endpoints returns the names of all endpoints in order.
+func (p *Planner) Endpoints() []model.EndpointID {
+	var ids []model.EndpointID
+	for _, e := range p.sortedEndpoints() {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
 // sortedEndpoints returns the endpoints in the order of their names, so that
 // plans do not depend on the order of maps.
 func (p *Planner) sortedEndpoints() []*endpoint {
--- a/planner/run.go
+++ b/planner/run.go
@@ -36,9 +36,9 @@
 var runsChart *chart.Machine[run]
 
 var (
-	evDispatch, evConfirm, evSighted, evRefused, evSilence, evStop        runEvent
-	evStopConfirmed, evEnd, evAbsent, evLapse, evReborn                   runEvent
-	runReserved, runStarting, runRunning, runStopping, runEnding, runGone chart.State
+	evDispatch, evConfirm, evSighted, evRefused, evSilence, evStop                      runEvent
+	evInherit, evStopConfirmed, evEnd, evAbsent, evLapse, evReborn                      runEvent
+	runInherited, runReserved, runStarting, runRunning, runStopping, runEnding, runGone chart.State
 )
 
 func init() {
@@ -48,6 +48,7 @@
 			"order_start": (*run).orderStart,
 			"order_stop":  (*run).orderStop,
 		})
+	evInherit = runsChart.MustEvent("inherit")
 	evDispatch = runsChart.MustEvent("dispatch")
 	evConfirm = runsChart.MustEvent("confirm")
 	evSighted = runsChart.MustEvent("sighted")
@@ -59,6 +60,7 @@
 	evAbsent = runsChart.MustEvent("absent")
 	evLapse = runsChart.MustEvent("lapse")
 	evReborn = runsChart.MustEvent("reborn")
+	runInherited = runsChart.MustState("inherited")
 	runReserved = runsChart.MustState("reserved")
 	runStarting = runsChart.MustState("starting")
 	runRunning = runsChart.MustState("running")
@@ -98,7 +100,7 @@
 	p := r.task.step.job.p
 	p.dirty = true
 	r.since = p.now
-	if event == evConfirm || event == evStopConfirmed || event == evSighted {
+	if event == evConfirm || event == evStopConfirmed || event == evSighted || event == evInherit {
 		r.answered = p.now
 	}
 	if before == runReserved {
@@ -106,8 +108,9 @@
 		r.at.dispatched(r)
 	}
 	r.at.countLeaving(r, r.state == runStopping || r.state == runEnding)
-	if r.state == runRunning {
-		r.task.step.job.begin()
+	if before == runReserved && r.state != runGone {
+		r.task.step.job.begun = true
+		r.task.step.job.changed()
 	}
 	if r.state == runGone {
 		p.release(r, event)
@@ -277,14 +280,34 @@
 	}
 }
 
+// inherit takes over a run that a former holder recorded.
+func (p *Planner) inherit(t *task, record jobs.RunRecord) {
+	e := p.endpoints[record.Endpoint]
+	if e == nil {
+		e = p.addEndpoint(fleet.Endpoint{ID: record.Endpoint, Leaving: true})
+	}
+	if t.run != nil && t.copy != nil || p.runs[jobs.RunID{Task: t.id, Number: record.Number}] != nil {
+		return
+	}
+	r := p.newRun(t, e, record.Number)
+	r.fire(evInherit)
+	if t.step.Gang {
+		t.step.gangRuns = max(t.step.gangRuns, record.Number)
+	}
+}
+
+// Ordered reports whether the run still waits for its start to be sent.
+func (p *Planner) Ordered(id jobs.RunID) bool {
+	r := p.runs[id]
+	return r != nil && r.state == runStarting
+}
+
 // findAbsent ends the runs that the listing should have shown.
 func (p *Planner) findAbsent(e *endpoint, asked time.Time) {
 	for _, r := range e.runList() {
 		if r.listing == p.listings || r.answered.IsZero() || !r.answered.Before(asked) {
 			continue
 		}
-		if r.state == runRunning || r.state == runEnding {
-			r.fire(evAbsent)
-		}
+		r.fire(evAbsent)
 	}
 }
--- a/planner/step.go
+++ b/planner/step.go
@@ -220,6 +220,12 @@
 			row.Saved[i] = t.saved
 			any = true
 		}
+		for _, r := range t.copies() {
+			if r.state != runReserved {
+				row.Runs = append(row.Runs, jobs.RunRecord{Task: i, Number: r.id.Number, Endpoint: r.at.ID})
+				any = true
+			}
+		}
 	}
 	return row, any
 }
@@ -239,6 +245,11 @@
 		s.completeAll()
 		return
 	}
+	for _, record := range row.Runs {
+		if record.Task < len(s.tasks) {
+			s.job.p.inherit(s.tasks[record.Task], record)
+		}
+	}
 	for _, i := range row.Done {
 		if i < len(s.tasks) {
 			s.tasks[i].fire(evTaskSucceed)
--- a/process/process.go
+++ b/process/process.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
@@ -47,6 +48,7 @@
 	state    chart.State
 	drainers []Drainer
 	stoppers []func()
+	reloads  []func()
 	left     int
 	deadline time.Time
 	overdue  bool
@@ -94,12 +96,36 @@
 // Ready reports whether the process takes new work.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
+// OnReload registers what SIGHUP does. It is called before Run; without it
+// SIGHUP has no effect.
+func (p *Process) OnReload(reload func()) { p.reloads = append(p.reloads, reload) }
+
+// serveReloads reloads the settings at each SIGHUP until the process stops.
+func (p *Process) serveReloads(hangups <-chan os.Signal) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hangups:
+				for _, reload := range p.reloads {
+					reload()
+				}
+			}
+		}
+	}
+}
+
 // Run runs the process to its end and returns the first error of its duties,
 // or ErrDrainTimeout.
 func (p *Process) Run() error {
 	signals, stop := signal.NotifyContext(p.group.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	defer context.AfterFunc(signals, p.Terminate)()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	p.group.Serve(p.serveReloads(hangups))
 	p.group.Start(p.life)
 	if err := p.group.Wait(); err != nil {
 		return err
