Bound the questions under way and rank what waits in the planner

Ruled out: the advice service's own time, of which 805 calls took a small part.

Change: at most two short questions an instance and one long one are under way; steps without room are tried again only once room was freed.

--- a/holder/consult.go
+++ b/holder/consult.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// shortQuestion is the cost up to which a question may be asked by the
-	// instance that is kept for short ones.
-	shortQuestion = 60 * time.Millisecond
 	// adviceTimeout is allowed for a question beyond its cost.
 	adviceTimeout = 800 * time.Millisecond
 	// adviserPause keeps questions from an instance that has not answered.
@@ -75,7 +72,7 @@
 	})
 	var left []planner.Question
 	for _, q := range c.questions {
-		if a := c.idle(h.now, q.Cost <= shortQuestion); a == nil || !a.Offer(q) {
+		if a := c.idle(h.now, q.Cost <= planner.ShortQuestion); a == nil || !a.Offer(q) {
 			left = append(left, q)
 		} else {
 			a.busy = true
@@ -131,6 +128,7 @@
 			delete(c.advisers, address)
 		}
 	}
+	h.cell.planner.SetAdvisers(len(c.advisers))
 }
 
 func (c *consults) ensure(h *Holder, address string) {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -32,6 +32,8 @@
 	// decidePeriod is how often the planner looks at what time alone brings
 	// about.
 	decidePeriod = 50 * time.Millisecond
+	// decideRatio bounds the part of the duty's time that plans take.
+	decideRatio = 4
 	// idlePeriod is the duty's wait while another instance holds the cell.
 	idlePeriod = time.Second
 	// queuesPeriod is how often the waiting jobs are published if they have
@@ -111,7 +113,9 @@
 	recorder *recorder
 	feeds    []*feed.Feed
 	retries  []retry
+	// decided is when the last plan was made, deciding how long that took.
 	decided  time.Time
+	deciding time.Duration
 	queues   map[jobs.QueueName]int
 	queuesAt time.Time
 	statsAt  time.Time
@@ -185,18 +189,30 @@
 	c := h.cell
 	h.serveLinks()
 	h.retryStops()
-	if h.mayAct() && (c.planner.Dirty() || h.now.Sub(c.decided) >= decidePeriod) {
-		c.decided = h.now
+	if h.mayAct() && h.decideDue() {
+		began := h.Clock.Now()
 		c.planner.Decide()
+		c.decided = h.Clock.Now()
+		c.deciding = c.decided.Sub(began)
 	}
 	h.carryOut(c.planner.Take())
 	c.consults.dispatch(h)
 	h.publishQueues()
 	c.recorder.flush(h)
 	h.logStats()
+	if c.planner.Dirty() {
+		return min(decideRatio*c.deciding, decidePeriod)
+	}
 	return decidePeriod
 }
 
+// decideDue reports whether to plan now. While much waits a plan takes longer,
+// and more news is taken in between two of them.
+func (h *Holder) decideDue() bool {
+	passed := h.now.Sub(h.cell.decided)
+	return passed >= decidePeriod || h.cell.planner.Dirty() && passed >= decideRatio*h.cell.deciding
+}
+
 // mayAct reports whether the instance's lease stands: no successor has come.
 func (h *Holder) mayAct() bool { return h.now.Before(h.until) }
 
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -72,6 +72,7 @@
 	if info.Born > born && born > 0 {
 		e.reborn()
 	}
+	p.freed++
 	p.dirty = true
 }
 
@@ -79,6 +80,7 @@
 	e := &endpoint{Endpoint: info, runs: map[*run]bool{}}
 	endpointsChart.Start(&e.state, e)
 	p.endpoints[info.ID] = e
+	p.sorted = nil
 	return e
 }
 
@@ -99,6 +101,7 @@
 		return false
 	}
 	delete(p.endpoints, id)
+	p.sorted = nil
 	return true
 }
 
@@ -112,6 +115,9 @@
 // listed notes that the endpoint has answered. One that has started anew runs
 // nothing of before.
 func (e *endpoint) listed(p *Planner, born int64) {
+	if e.state != endpointListed {
+		p.freed++
+	}
 	if born > e.Born {
 		if e.Born > 0 {
 			e.reborn()
--- a/planner/order.go
+++ b/planner/order.go
@@ -34,8 +34,9 @@
 	late     bool
 	// due is when the step should have started for the job to meet its
 	// objective.
-	due time.Time
-	id  jobs.StepID
+	due  time.Time
+	id   jobs.StepID
+	name string
 }
 
 func (a rank) before(b rank) bool {
@@ -49,32 +50,47 @@
 	case !a.due.Equal(b.due):
 		return a.due.Before(b.due)
 	default:
-		return a.id.String() < b.id.String()
+		return a.name < b.name
 	}
 }
 
-func (p *Planner) rankOf(s *step) rank {
+// rank brings the step's rank up to date.
+func (p *Planner) rank(s *step) {
+	if !s.ranked {
+		p.rankAnew(s)
+	}
+	if s.lateAt.IsZero() {
+		return
+	}
+	s.rank.late = p.now.After(s.lateAt)
+	switch {
+	case p.now.After(s.overdueAt):
+		s.rank.urgency = overdue
+	case s.job.surplus:
+		s.rank.urgency = surplus
+	default:
+		s.rank.urgency = inTime
+	}
+}
+
+// rankAnew works out what does not change while the step waits.
+func (p *Planner) rankAnew(s *step) {
+	s.ranked, s.lateAt = true, time.Time{}
+	s.rank = rank{id: s.id, name: s.id.String(), due: s.openedAt}
 	queue := p.queueOf(s.job)
-	r := rank{id: s.id, due: s.openedAt}
 	if queue == nil {
-		r.urgency = overdue
-		return r
+		s.rank.urgency = overdue
+		return
 	}
-	r.priority = queue.Priority
+	s.rank.priority = queue.Priority
 	if s.Lasting {
-		return r
+		return
 	}
 	from := s.job.startOf(s.id.Occurrence)
 	objective := s.job.objective(queue.Stretch, queue.Objective, queue.Advice.Cost(chainAdvice))
 	left := s.job.chainFrom(s.id.Step)
-	r.due = from.Add(objective - left)
-	r.late = p.now.After(r.due)
-	if p.now.Add(left).After(from.Add(lateFactor * objective)) {
-		r.urgency = overdue
-	} else if s.job.surplus {
-		r.urgency = surplus
-	}
-	return r
+	s.rank.due = from.Add(objective - left)
+	s.lateAt, s.overdueAt = s.rank.due, from.Add(lateFactor*objective-left)
 }
 
 // startOf returns when the time of an occurrence began.
--- a/planner/place.go
+++ b/planner/place.go
@@ -26,20 +26,34 @@
 	adviceWiden = 600 * time.Millisecond
 	// goodAtFirst is the share of good endpoints taken before any answer.
 	goodAtFirst = 0.4
+	// ShortQuestion is the cost up to which a question is a short one: an
+	// instance is kept for these.
+	ShortQuestion = 60 * time.Millisecond
+	// shortPerAdviser is the number of short questions under way for each
+	// instance: one is asked while others are on their way.
+	shortPerAdviser = 2
+	// failuresTried is how many steps of a priority may find no room before
+	// the rest of it is left for the next time.
+	failuresTried = 12
 	// reservationTime bounds the life of a reservation: stops and a question
 	// about tickets are over by then.
 	reservationTime = 3500 * time.Millisecond
 )
 
 // place reserves room for the pending tasks of the step as far as there is any.
-func (p *Planner) place(s *step) {
+// It returns false when it found too little.
+func (p *Planner) place(s *step) bool {
 	queue := p.queueOf(s.job)
 	if queue == nil || p.now.Before(s.retryAt) {
-		return
+		return true
+	}
+	if s.failedAt == p.freed && s.failedAt > 0 {
+		p.widen(s, queue)
+		return false
 	}
 	candidates := p.candidates(s, queue)
 	if candidates == nil {
-		return
+		return true
 	}
 	placed := false
 	if s.Gang {
@@ -47,9 +61,11 @@
 	} else {
 		placed = p.placeTasks(s, candidates)
 	}
-	if !placed && queue.Advice != nil {
+	if !placed {
+		s.failedAt = p.freed
 		p.widen(s, queue)
 	}
+	return placed
 }
 
 // candidates returns the endpoints that the step may run on; nil while advice
@@ -98,7 +114,7 @@
 // widen asks about further endpoints when the good ones have had no room for a
 // while.
 func (p *Planner) widen(s *step, queue *catalog.Queue) {
-	if s.advice.outstanding || p.now.Sub(s.advice.askedAt) < adviceWiden {
+	if queue.Advice == nil || s.advice.outstanding || p.now.Sub(s.advice.askedAt) < adviceWiden {
 		return
 	}
 	p.ask(s, queue, p.toAsk(s, queue))
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -90,7 +90,16 @@
 	plan      Plan
 	dirty     bool
 	listings  uint64
-	good      map[jobs.QueueName]*ratio
+	// sorted are the endpoints in the order of their names; nil when they have
+	// changed.
+	sorted []*endpoint
+	// freed counts what may let a waiting step be placed.
+	freed uint64
+	// advisers is the number of instances that can ask for advice; short and
+	// long are the questions under way.
+	advisers    int
+	short, long int
+	good        map[jobs.QueueName]*ratio
 }
 
 // New returns a planner that acts as the holder of the epoch.
@@ -116,6 +125,10 @@
 // SetCatalog takes a configuration in force.
 func (p *Planner) SetCatalog(c *catalog.Catalog) {
 	p.catalog = c
+	for s := range p.open {
+		s.ranked = false
+	}
+	p.freed++
 	p.dirty = true
 }
 
@@ -126,6 +139,7 @@
 	} else {
 		delete(p.evacuated, domain)
 	}
+	p.freed++
 	p.dirty = true
 }
 
@@ -177,14 +191,27 @@
 	p.openOccurrences()
 	p.withdrawStale()
 	p.watchProgress()
-	for _, s := range p.inOrder() {
-		p.place(s)
-	}
 	p.dispatchReserved()
 	p.renewTickets()
+	p.placeAll()
+	p.dispatchReserved()
 	p.dirty = false
 }
 
+// placeAll places the waiting steps in their order. Once several of a priority
+// have found no room, the others of it wait for the next time.
+func (p *Planner) placeAll() {
+	failures := map[int]int{}
+	for _, s := range p.inOrder() {
+		if failures[s.rank.priority] >= failuresTried {
+			continue
+		}
+		if !p.place(s) {
+			failures[s.rank.priority]++
+		}
+	}
+}
+
 // Dirty reports whether something happened since the last Decide.
 func (p *Planner) Dirty() bool { return p.dirty }
 
@@ -194,7 +221,7 @@
 	var list []*step
 	for s := range p.open {
 		if len(s.pending) > 0 && !s.job.closing() {
-			s.rank = p.rankOf(s)
+			p.rank(s)
 			list = append(list, s)
 		}
 	}
@@ -202,8 +229,7 @@
 	return list
 }
 
-// placeable returns the team's, the queue's and the step's word on whether
-// anything of the step can be placed.
+// queueOf returns the configuration of the job's queue; nil when it has none.
 func (p *Planner) queueOf(j *job) *catalog.Queue {
 	if p.catalog == nil {
 		return nil
@@ -211,11 +237,33 @@
 	return p.catalog.Queues[j.Queue]
 }
 
+// SetAdvisers tells how many instances can ask for advice.
+func (p *Planner) SetAdvisers(n int) { p.advisers = n }
+
+// mayAsk reports whether a question of the cost can be asked before long: what
+// waits is ranked here, where the order can still change.
+func (p *Planner) mayAsk(cost time.Duration) bool {
+	if cost <= ShortQuestion {
+		return p.short < shortPerAdviser*p.advisers
+	}
+	return p.long < p.advisers
+}
+
+// countQuestion counts a question of the cost as asked or, with -1, answered.
+func (p *Planner) countQuestion(cost time.Duration, n int) {
+	if cost <= ShortQuestion {
+		p.short += n
+	} else {
+		p.long += n
+	}
+}
+
 // ask adds a question about the step.
 func (p *Planner) ask(s *step, q *catalog.Queue, endpoints []*endpoint) {
-	if len(endpoints) == 0 {
+	if len(endpoints) == 0 || !p.mayAsk(q.Advice.Cost(len(endpoints))) {
 		return
 	}
+	p.countQuestion(q.Advice.Cost(len(endpoints)), 1)
 	ids := make([]model.EndpointID, 0, len(endpoints))
 	for _, e := range endpoints {
 		ids = append(ids, e.ID)
@@ -270,12 +318,13 @@
 // sortedEndpoints returns the endpoints in the order of their names, so that
 // plans do not depend on the order of maps.
 func (p *Planner) sortedEndpoints() []*endpoint {
-	list := make([]*endpoint, 0, len(p.endpoints))
-	for _, e := range p.endpoints {
-		list = append(list, e)
+	if p.sorted == nil {
+		for _, e := range p.endpoints {
+			p.sorted = append(p.sorted, e)
+		}
+		sort.Slice(p.sorted, func(i, k int) bool { return p.sorted[i].ID < p.sorted[k].ID })
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
-	return list
+	return p.sorted
 }
 
 // Endpoint returns what is known of an endpoint.
--- a/planner/run.go
+++ b/planner/run.go
@@ -120,6 +120,7 @@
 // release gives up what the run has taken. Its task waits again unless the
 // run's end has said otherwise.
 func (p *Planner) release(r *run, event runEvent) {
+	p.freed++
 	delete(p.runs, r.id)
 	r.at.remove(r)
 	team := p.teamOf(r.task.step.job.Team)
--- a/planner/step.go
+++ b/planner/step.go
@@ -25,6 +25,12 @@
 	gangSaved string
 	advice    advice
 	rank      rank
+	// ranked says that rank is up to date but for the time that has passed;
+	// lateAt and overdueAt are when it changes.
+	ranked            bool
+	lateAt, overdueAt time.Time
+	// failedAt is the planner's count of freed room when no room was found.
+	failedAt uint64
 	// retryAt keeps the step from being planned again at once.
 	retryAt time.Time
 }
@@ -162,6 +168,7 @@
 // asked is when the answer was on its way at the earliest.
 func (p *Planner) Advised(q Question, tickets map[model.EndpointID]string, answered time.Time) {
 	p.dirty = true
+	p.countQuestion(q.Cost, -1)
 	j := p.jobs[q.Step.Job]
 	if j == nil {
 		return
@@ -171,6 +178,7 @@
 		return
 	}
 	s.advice.outstanding = false
+	s.failedAt = 0
 	if tickets == nil {
 		for _, id := range q.Endpoints {
 			if _, known := s.advice.good[id]; !known {
