--- a/holder/holder.go
+++ b/holder/holder.go
@@ -234,8 +234,7 @@
 		h.logOutcome(o)
 	}
 	for _, id := range plan.Removed {
-		c.recorder.removed[id] = true
-		delete(c.recorder.changed, id)
+		c.recorder.remove(h.now, id)
 	}
 }
 
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -92,6 +92,15 @@
 	return found
 }
 
+// remove notes that the job's rows are to be deleted. From here on its row in
+// the feed does not bring it back.
+func (r *recorder) remove(now time.Time, id jobs.ID) {
+	r.removed[id] = true
+	delete(r.changed, id)
+	r.gone[id] = now
+	r.pruneGone(now)
+}
+
 // outcome notes a job's final state.
 func (r *recorder) outcome(h *Holder, o planner.Outcome) {
 	r.final[o.Job] = finalState{jobs.Status{
@@ -194,8 +203,6 @@
 		delete(r.removed, id)
 		delete(r.changed, id)
 		delete(r.begun, id)
-		r.gone[id] = h.now
-		r.pruneGone(h.now)
 		return append(writes, drop(h.Lanes.Key(JobsTable, id)), drop(h.Lanes.Key(progressTable, id)))
 	}
 	delete(r.changed, id)
--- a/planner/place.go
+++ b/planner/place.go
@@ -34,7 +34,7 @@
 	shortPerAdviser = 2
 	// failuresTried is how many steps of a priority may find no room before
 	// the rest of it is left for the next time.
-	failuresTried = 12
+	failuresTried = 40
 	// reservationTime bounds the life of a reservation: stops and a question
 	// about tickets are over by then.
 	reservationTime = 3500 * time.Millisecond
@@ -108,6 +108,10 @@
 	sort.SliceStable(list, func(i, k int) bool { return room[list[i]] > room[list[k]] })
 	share := max(p.goodRatio(s.job.Queue).or(goodAtFirst), 0.05)
 	needed := int(math.Ceil(adviceSpare*float64(len(s.pending))/(float64(most)*share))) + adviceLeast
+	if each := queue.Advice.PerEndpoint; each > 0 {
+		// Up to the time of the question itself, further endpoints cost little.
+		needed = max(needed, int(queue.Advice.Decide/each/2))
+	}
 	return list[:min(needed, adviceMax, len(list))]
 }
 
@@ -145,7 +149,7 @@
 			return true
 		}
 		e := p.bestFor(s, t, candidates)
-		if e == nil {
+		if e == nil && p.mayStopOthers(s) {
 			e = p.makeRoom(s, candidates)
 		}
 		if e == nil {
@@ -240,7 +244,7 @@
 		return true
 	}
 	seats := p.seats(s, candidates, (*endpoint).plannedFree)
-	if seats == nil {
+	if seats == nil && p.mayStopOthers(s) {
 		seats = p.seatsByStopping(s, candidates)
 	}
 	if seats == nil {
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -2,10 +2,19 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/hornbeamworks/hornbeam/model"
 )
 
+const (
+	// stopPatience is the part of its spare time that a step waits for room
+	// before others are stopped for it.
+	stopPatience = 0.2
+	// maxPreempted is how often a task may be stopped for others.
+	maxPreempted = 2
+)
+
 // claimable is the room that a step of the priority could have on the endpoint
 // by stopping work that comes after it.
 func (p *Planner) claimable(e *endpoint, priority int) model.Resources {
@@ -18,20 +27,24 @@
 	return room
 }
 
+// mayStopOthers reports whether the step has waited long enough for others to be
+// stopped: a part of the time that it has.
+func (p *Planner) mayStopOthers(s *step) bool {
+	patience := time.Duration(stopPatience * float64(s.rank.due.Sub(s.openedAt)))
+	return s.rank.urgency == inTime && p.now.Sub(s.openedAt) >= patience
+}
+
 // yields reports whether the run may be stopped for a step of the priority.
 // Gangs are left alone: stopping one member ends the work of all.
 func (p *Planner) yields(r *run, priority int) bool {
 	queue := p.queueOf(r.task.step.job)
 	return r.state == runRunning && queue != nil && queue.Priority > priority &&
-		!r.task.step.Gang && !r.task.step.Lasting && !r.task.step.job.closing()
+		r.task.preempted < maxPreempted && !r.task.step.Gang && !r.task.step.Lasting && !r.task.step.job.closing()
 }
 
 // makeRoom stops work of later priorities on the endpoint where that costs
 // least, so that a task of the step fits. It returns nil when nothing helps.
 func (p *Planner) makeRoom(s *step, candidates []*endpoint) *endpoint {
-	if s.rank.urgency != inTime {
-		return nil
-	}
 	var (
 		best  *endpoint
 		stops []*run
@@ -42,7 +55,7 @@
 			continue
 		}
 		victims, cost, ok := p.victims(s, e, 1)
-		if ok && (best == nil || cost < least) {
+		if ok && cost <= s.worthOf(1) && (best == nil || cost < least) {
 			best, stops, least = e, victims, cost
 		}
 	}
@@ -87,6 +100,7 @@
 
 func (p *Planner) stopFor(s *step, stops []*run) {
 	for _, r := range stops {
+		r.task.preempted++
 		r.reason = "makes room for " + s.id.String()
 		r.fire(evStop)
 	}
@@ -95,9 +109,6 @@
 // seatsByStopping returns seats for the gang where work of later priorities is
 // stopped, or nil.
 func (p *Planner) seatsByStopping(s *step, candidates []*endpoint) []*endpoint {
-	if s.rank.urgency != inTime {
-		return nil
-	}
 	seats := p.seats(s, candidates, func(e *endpoint) model.Resources { return p.claimable(e, s.rank.priority) })
 	if seats == nil {
 		return nil
@@ -106,13 +117,28 @@
 	for _, e := range seats {
 		needed[e]++
 	}
+	var stops []*run
+	lost := 0.0
 	for _, e := range candidates {
 		if needed[e] == 0 {
 			continue
 		}
-		if stops, _, ok := p.victims(s, e, needed[e]); ok {
-			p.stopFor(s, stops)
+		victims, cost, ok := p.victims(s, e, needed[e])
+		if !ok {
+			return nil
 		}
+		stops = append(stops, victims...)
+		lost += cost
+	}
+	if lost > s.worthOf(s.Count) {
+		return nil
 	}
+	p.stopFor(s, stops)
 	return seats
 }
+
+// worthOf is the work of n tasks of the step, in core-milliseconds: no more
+// than that is thrown away for them.
+func (s *step) worthOf(n int) float64 {
+	return float64(n) * float64(s.Size[model.CPU]) * float64(s.Estimate.Milliseconds()) / 1000
+}
--- a/planner/task.go
+++ b/planner/task.go
@@ -20,6 +20,8 @@
 	failed []int
 	// avoided are the endpoints where it failed.
 	avoided []model.EndpointID
+	// preempted counts how often it was stopped for others.
+	preempted int
 	// saved is its last checkpoint.
 	saved string
 	// run is its live run, copy a second one of a task that may have copies.
