Let the lease of an endpoint that does not answer end

Ruled out: lost questions to the advice service; ends that were listed and not taken. step_waits in the log names the members that a gang waits for.

Change: a silent endpoint is asked without extending its lease.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -41,6 +41,10 @@
 	queuesPeriod = 700 * time.Millisecond
 	// statsPeriod is how often the state of the cell is logged.
 	statsPeriod = 5 * time.Second
+	// waitingLogged is the number of steps whose wait is logged each time, if
+	// they have waited for waitingLong.
+	waitingLogged = 4
+	waitingLong   = 10 * time.Second
 	// teamLabels bounds the number of teams and queues in metrics.
 	teamLabels = 128
 )
@@ -285,4 +289,12 @@
 		slog.Int("reserved", s.Reserved), slog.Int("pending", s.Pending), slog.Int("usable", s.Usable),
 		slog.Int("endpoints", s.Endpoints), slog.Int64("cpu_used", s.CPUUsed), slog.Int64("cpu_total", s.CPUTotal),
 		slog.Int("questions", c.consults.waiting()), slog.Duration("lease_left", h.until.Sub(h.now)))
+	for _, w := range c.planner.LongestWaiting(waitingLogged) {
+		if w.Since < waitingLong {
+			continue
+		}
+		h.Log.Info("step_waits", slog.String("id", string(w.Step.Job)), slog.String("step", w.Step.String()),
+			slog.String("queue", string(w.Queue)), slog.Duration("since", w.Since), slog.Int("pending", w.Pending),
+			slog.Int("tasks", w.Count), slog.String("reason", w.Reason), slog.Int("asked", w.Asked), slog.Int("good", w.Good))
+	}
 }
--- a/holder/links.go
+++ b/holder/links.go
@@ -134,7 +134,9 @@
 
 func (h *Holder) renew(l *link) {
 	order := fleet.Renewal{Target: l.target(), Forget: l.forget, Wait: listWait, Epoch: h.cell.epoch}
-	if l.clock > 0 {
+	if l.clock > 0 && l.failures == 0 {
+		// A renewal without an answer may have taken effect: while there is
+		// none, the lease is left to end.
 		order.Until = h.lease(l)
 	}
 	if l.seen != l.forget || l.clock == 0 {
--- a/holder/orders.go
+++ b/holder/orders.go
@@ -89,7 +89,7 @@
 		return
 	}
 	l := h.cell.links[s.Endpoint]
-	if l == nil || l.clock == 0 || !h.mayAct() {
+	if l == nil || l.clock == 0 || l.failures > 0 || !h.mayAct() {
 		h.cell.planner.Refused(s.Run, fleet.ErrRefused)
 		return
 	}
--- /dev/null
+++ b/planner/explain.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/jobs"
+)
+
+// Waiting says why a step waits.
+type Waiting struct {
+	Step  jobs.StepID
+	Queue jobs.QueueName
+	// Since is how long it has been open.
+	Since time.Duration
+	// Pending and Count are its waiting tasks and all of them.
+	Pending, Count int
+	// Reason is what it waits for, in a few words.
+	Reason string
+	// Asked and Good are the endpoints that were asked about and may run it.
+	Asked, Good int
+}
+
+// LongestWaiting returns the n steps that have waited longest.
+func (p *Planner) LongestWaiting(n int) []Waiting {
+	var list []*step
+	for s := range p.open {
+		if len(s.pending) > 0 && !s.job.closing() {
+			list = append(list, s)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool {
+		if !list[i].openedAt.Equal(list[k].openedAt) {
+			return list[i].openedAt.Before(list[k].openedAt)
+		}
+		return list[i].id.String() < list[k].id.String()
+	})
+	var found []Waiting
+	for _, s := range list[:min(n, len(list))] {
+		found = append(found, Waiting{
+			Step: s.id, Queue: s.job.Queue, Since: p.now.Sub(s.openedAt), Pending: len(s.pending), Count: s.Count,
+			Reason: p.reasonFor(s), Asked: len(s.advice.asked), Good: len(s.advice.good),
+		})
+	}
+	return found
+}
+
+// liveMembers lists the step's first runs that are not gone, with their states.
+func (s *step) liveMembers() string {
+	var list []string
+	for _, t := range s.tasks {
+		for _, r := range t.copies() {
+			if len(list) < membersNamed {
+				list = append(list, r.id.String()+" "+runsChart.Name(r.state)+" at "+string(r.at.ID)+" ("+endpointsChart.Name(r.at.state)+")")
+			}
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+// membersNamed is how many runs an explanation names.
+const membersNamed = 3
+
+// reasonFor says what keeps the step from being placed.
+func (p *Planner) reasonFor(s *step) string {
+	queue := p.queueOf(s.job)
+	switch {
+	case queue == nil:
+		return "its queue has left the configuration"
+	case !p.mayRun(s.job.Team, s.Committed()):
+		return "its team is at its limit"
+	case s.Gang && len(s.pending) < s.Count:
+		return "members of its last run have not ended: " + s.liveMembers()
+	case queue.Advice != nil && len(s.advice.asked) == 0:
+		return "no advice yet"
+	case s.advice.outstanding:
+		return "advice is under way"
+	case p.now.Before(s.retryAt):
+		return "advice failed a moment ago"
+	default:
+		return "no room on the endpoints that may run it"
+	}
+}
