Reserve no room while tickets are renewed; look at parked steps in turn

Change: single tasks go only where a ticket stands, and all good endpoints with room are asked about together; parked steps are ordered twice a second; a short question is one of up to 150 ms, and two instances are kept for those; 8 lanes.

--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -87,9 +87,9 @@
 
 // The defaults of settings that the platform does not tell.
 const (
-	// defaultLanes lets two writes of an instance go on side by side while the
-	// table is slow.
-	defaultLanes = 4
+	// defaultLanes spreads the jobs over so many parts that a table that takes
+	// 60 times as long for each write still takes 50 a second.
+	defaultLanes = 8
 	// defaultLinger covers two checks of the ready page, one a second.
 	defaultLinger = 2300 * time.Millisecond
 )
--- a/front/submit.go
+++ b/front/submit.go
@@ -27,11 +27,11 @@
 	laneBatch = 30
 	// laneBytes bounds the rows of one write; the table takes 1 MB.
 	laneBytes = 500 << 10
-	// writeTimeout bounds one try of a write.
-	writeTimeout = 700 * time.Millisecond
+	// writeTimeout bounds one try of a write; a slow table takes a second.
+	writeTimeout = 1200 * time.Millisecond
 	// writeTries is how often a write without an answer is tried: a repetition
 	// settles whether the first took effect.
-	writeTries = 3
+	writeTries = 2
 	// probePeriod is how often a lane asks a table that is away.
 	probePeriod = 200 * time.Millisecond
 	// maxSpec is the size of the largest specification in bytes.
--- a/holder/consult.go
+++ b/holder/consult.go
@@ -41,6 +41,8 @@
 	*duty.Duty[planner.Question]
 	address string
 	busy    bool
+	// long says that the question under way is a long one.
+	long bool
 	// barred is until when it is not asked, since it has not answered.
 	barred time.Time
 }
@@ -75,20 +77,21 @@
 		if a := c.idle(h.now, q.Cost <= planner.ShortQuestion); a == nil || !a.Offer(q) {
 			left = append(left, q)
 		} else {
-			a.busy = true
+			a.busy, a.long = true, q.Cost > planner.ShortQuestion
 		}
 	}
 	c.questions = left
 }
 
 // idle returns an instance that can be asked now: this one first for a short
-// question, last for a long one and only if there is no other.
+// question, last for a long one and only if there is no other. Of several others
+// one is left for short questions, too.
 func (c *consults) idle(now time.Time, short bool) *adviser {
 	own := c.advisers[""]
 	if short && own != nil && !own.busy {
 		return own
 	}
-	others := 0
+	others, idle, long := 0, (*adviser)(nil), 0
 	for _, address := range c.addresses() {
 		a := c.advisers[address]
 		if address == "" || now.Before(a.barred) {
@@ -96,13 +99,18 @@
 		}
 		others++
 		if !a.busy {
-			return a
+			idle = a
+		} else if a.long {
+			long++
 		}
 	}
+	if !short && others > 2 && long >= others-1 {
+		return nil
+	}
 	if others == 0 && own != nil && !own.busy {
 		return own
 	}
-	return nil
+	return idle
 }
 
 func (c *consults) addresses() []string {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -110,6 +110,9 @@
 	planner  *planner.Planner
 	restored *restored
 	links    map[model.EndpointID]*link
+	// inOrder are the links in the order of their endpoints' names; nil when
+	// they have changed.
+	inOrder []*link
 	// roster are the endpoints that a successor has to list.
 	roster   map[model.EndpointID]rosterEntry
 	couriers []*courier
--- a/holder/links.go
+++ b/holder/links.go
@@ -91,6 +91,7 @@
 		return duty.Never
 	}))
 	c.links[id] = l
+	c.inOrder = nil
 	h.Start(l.listener)
 	return l
 }
@@ -108,8 +109,7 @@
 // ended.
 func (h *Holder) serveLinks() {
 	c := h.cell
-	for _, id := range sortedLinks(c.links) {
-		l := c.links[id]
+	for _, l := range c.sortedLinks() {
 		h.checkLease(l)
 		if !l.busy && !h.now.Before(l.nextAt) && h.mayAct() && h.recordedOrDue(l) {
 			h.renew(l)
@@ -117,13 +117,14 @@
 	}
 }
 
-func sortedLinks(links map[model.EndpointID]*link) []model.EndpointID {
-	ids := make([]model.EndpointID, 0, len(links))
-	for id := range links {
-		ids = append(ids, id)
+func (c *cell) sortedLinks() []*link {
+	if c.inOrder == nil {
+		for _, l := range c.links {
+			c.inOrder = append(c.inOrder, l)
+		}
+		sort.Slice(c.inOrder, func(i, k int) bool { return c.inOrder[i].id < c.inOrder[k].id })
 	}
-	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
-	return ids
+	return c.inOrder
 }
 
 // recordedOrDue keeps a listing back until the ends of the last one are
@@ -184,6 +185,7 @@
 	c := h.cell
 	l.listener.Stop()
 	delete(c.links, l.id)
+	c.inOrder = nil
 	if _, listed := c.roster[l.id]; listed {
 		delete(c.roster, l.id)
 		c.recorder.rosterChanged = true
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"github.com/hornbeamworks/hornbeam/catalog"
 )
 
 const (
@@ -126,26 +124,9 @@
 	}
 	for _, s := range order {
 		if queue := p.queueOf(s.job); queue != nil && queue.Advice != nil {
-			p.ask(s, queue, p.withOthers(s, queue, lacking[s]))
-		}
-	}
-}
-
-// withOthers adds the step's other good endpoints to a question, while more of
-// its tasks wait and the endpoints add less than the question's own time.
-func (p *Planner) withOthers(s *step, queue *catalog.Queue, list []*endpoint) []*endpoint {
-	if len(s.pending) == 0 {
-		return list
-	}
-	for _, e := range p.sortedEndpoints() {
-		if queue.Advice.PerEndpoint*time.Duration(len(list)) >= queue.Advice.Decide || len(list) >= adviceMax {
-			break
-		}
-		if _, good := s.advice.good[e.ID]; good && p.suits(s, e) {
-			list = appendNew(list, e)
+			p.ask(s, queue, lacking[s])
 		}
 	}
-	return list
 }
 
 func appendNew(list []*endpoint, e *endpoint) []*endpoint {
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -25,7 +25,7 @@
 // LongestWaiting returns the n steps that have waited longest.
 func (p *Planner) LongestWaiting(n int) []Waiting {
 	var list []*step
-	for s := range p.open {
+	for _, s := range p.openSteps() {
 		if len(s.pending) > 0 && !s.job.closing() {
 			list = append(list, s)
 		}
--- a/planner/job.go
+++ b/planner/job.go
@@ -107,7 +107,7 @@
 		Job: j.ID, State: j.outcome, Reason: j.reason, Took: j.p.now.Sub(j.accepted), Queue: j.Queue, Team: j.Team,
 	})
 	for _, s := range j.steps {
-		delete(j.p.open, s)
+		j.p.closeStep(s)
 	}
 	delete(j.p.scheduled, j)
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -26,9 +26,9 @@
 	adviceWiden = 600 * time.Millisecond
 	// goodAtFirst is the share of good endpoints taken before any answer.
 	goodAtFirst = 0.4
-	// ShortQuestion is the cost up to which a question is a short one: an
-	// instance is kept for these.
-	ShortQuestion = 60 * time.Millisecond
+	// ShortQuestion is the cost up to which a question is a short one: two
+	// instances are kept for these.
+	ShortQuestion = 150 * time.Millisecond
 	// shortPerAdviser is the number of short questions under way for each
 	// instance: one is asked while others are on their way.
 	shortPerAdviser = 2
@@ -144,13 +144,18 @@
 // of room.
 func (p *Planner) placeTasks(s *step, candidates []*endpoint) bool {
 	size := s.Committed()
+	permitted, lapsed := p.partByTicket(s, candidates)
 	for _, t := range slices.Clone(s.pending) {
 		if !p.mayRun(s.job.Team, size) {
 			return true
 		}
-		e := p.bestFor(s, t, candidates)
+		e := p.bestFor(s, t, permitted)
+		if e == nil && p.bestFor(s, t, lapsed) != nil {
+			p.renew(s, lapsed)
+			return true
+		}
 		if e == nil && p.mayStopOthers(s) {
-			e = p.makeRoom(s, candidates)
+			e = p.makeRoom(s, permitted)
 		}
 		if e == nil {
 			return false
@@ -160,6 +165,40 @@
 	return true
 }
 
+// partByTicket parts the endpoints into those that the step may use now and
+// those whose tickets have run out. Room is not reserved on the latter: it would
+// be idle until the answer comes.
+func (p *Planner) partByTicket(s *step, candidates []*endpoint) (permitted, lapsed []*endpoint) {
+	queue := p.queueOf(s.job)
+	for _, e := range candidates {
+		if _, valid := s.ticket(e); valid || queue.Advice == nil {
+			permitted = append(permitted, e)
+		} else {
+			lapsed = append(lapsed, e)
+		}
+	}
+	return permitted, lapsed
+}
+
+// renew asks again about endpoints whose tickets have run out: about as many as
+// add less than the question's own time, those with most room first.
+func (p *Planner) renew(s *step, lapsed []*endpoint) {
+	queue := p.queueOf(s.job)
+	if s.advice.outstanding {
+		return
+	}
+	size := s.Committed()
+	list := slices.Clone(lapsed)
+	sort.SliceStable(list, func(i, k int) bool {
+		return slots(size, list[i].plannedFree()) > slots(size, list[k].plannedFree())
+	})
+	most := adviceMax
+	if each := queue.Advice.PerEndpoint; each > 0 {
+		most = min(most, max(int(queue.Advice.Decide/each), 1))
+	}
+	p.ask(s, queue, list[:min(most, len(list))])
+}
+
 // nextNumber returns the number of the task's next run.
 func (t *task) nextNumber() int {
 	t.number++
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -84,12 +84,17 @@
 	jobs      map[jobs.ID]*job
 	teams     map[model.TeamName]*team
 	runs      map[jobs.RunID]*run
-	open      map[*step]bool
-	scheduled map[*job]bool
-	reserved  map[*run]bool
-	plan      Plan
-	dirty     bool
-	listings  uint64
+	// open are the open steps that can be in time; parked are the others, which
+	// are looked at in turn, parkedOrder is their order as of parkedAt.
+	open        map[*step]bool
+	parked      map[*step]bool
+	parkedOrder []*step
+	parkedAt    time.Time
+	scheduled   map[*job]bool
+	reserved    map[*run]bool
+	plan        Plan
+	dirty       bool
+	listings    uint64
 	// sorted are the endpoints in the order of their names; nil when they have
 	// changed.
 	sorted []*endpoint
@@ -112,6 +117,7 @@
 		teams:     map[model.TeamName]*team{},
 		runs:      map[jobs.RunID]*run{},
 		open:      map[*step]bool{},
+		parked:    map[*step]bool{},
 		scheduled: map[*job]bool{},
 		reserved:  map[*run]bool{},
 		good:      map[jobs.QueueName]*ratio{},
@@ -125,7 +131,7 @@
 // SetCatalog takes a configuration in force.
 func (p *Planner) SetCatalog(c *catalog.Catalog) {
 	p.catalog = c
-	for s := range p.open {
+	for _, s := range p.openSteps() {
 		s.ranked = false
 	}
 	p.freed++
@@ -172,7 +178,7 @@
 // Stats counts what the planner holds.
 func (p *Planner) Stats() Stats {
 	s := Stats{Jobs: len(p.jobs), Runs: len(p.runs), Reserved: len(p.reserved), Endpoints: len(p.endpoints)}
-	for st := range p.open {
+	for _, st := range p.openSteps() {
 		s.Pending += len(st.pending)
 	}
 	for _, e := range p.endpoints {
@@ -212,6 +218,24 @@
 	}
 }
 
+// openSteps returns all open steps.
+func (p *Planner) openSteps() []*step {
+	list := make([]*step, 0, len(p.open)+len(p.parked))
+	for s := range p.open {
+		list = append(list, s)
+	}
+	for s := range p.parked {
+		list = append(list, s)
+	}
+	return list
+}
+
+// closeStep forgets that the step is open.
+func (p *Planner) closeStep(s *step) {
+	delete(p.open, s)
+	delete(p.parked, s)
+}
+
 // Dirty reports whether something happened since the last Decide.
 func (p *Planner) Dirty() bool { return p.dirty }
 
@@ -220,15 +244,56 @@
 func (p *Planner) inOrder() []*step {
 	var list []*step
 	for s := range p.open {
-		if len(s.pending) > 0 && !s.job.closing() {
+		if len(s.pending) == 0 || s.job.closing() {
+			continue
+		}
+		p.rank(s)
+		if s.rank.urgency != inTime {
+			delete(p.open, s)
+			p.parked[s] = true
+			continue
+		}
+		list = append(list, s)
+	}
+	sortSteps(list)
+	return append(list, p.firstParked()...)
+}
+
+func sortSteps(list []*step) {
+	sort.Slice(list, func(i, k int) bool { return list[i].rank.before(list[k].rank) })
+}
+
+// firstParked returns the first of the parked steps that have pending tasks.
+// Their order is looked at from time to time only, since there can be many.
+func (p *Planner) firstParked() []*step {
+	if p.now.Sub(p.parkedAt) >= parkedPeriod {
+		p.parkedAt = p.now
+		p.parkedOrder = p.parkedOrder[:0]
+		for s := range p.parked {
 			p.rank(s)
+			p.parkedOrder = append(p.parkedOrder, s)
+		}
+		sortSteps(p.parkedOrder)
+	}
+	var list []*step
+	for _, s := range p.parkedOrder {
+		if len(list) == parkedTried {
+			break
+		}
+		if p.parked[s] && len(s.pending) > 0 && !s.job.closing() {
 			list = append(list, s)
 		}
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].rank.before(list[k].rank) })
 	return list
 }
 
+const (
+	// parkedPeriod is how often the parked steps are put in order.
+	parkedPeriod = 500 * time.Millisecond
+	// parkedTried is how many of them are tried each time.
+	parkedTried = 48
+)
+
 // queueOf returns the configuration of the job's queue; nil when it has none.
 func (p *Planner) queueOf(j *job) *catalog.Queue {
 	if p.catalog == nil {
@@ -246,7 +311,7 @@
 	if cost <= ShortQuestion {
 		return p.short < shortPerAdviser*p.advisers
 	}
-	return p.long < p.advisers
+	return p.long < max(p.advisers-1, 1)
 }
 
 // countQuestion counts a question of the cost as asked or, with -1, answered.
--- a/planner/step.go
+++ b/planner/step.go
@@ -61,7 +61,7 @@
 		chart.Guards[step]{},
 		chart.Actions[step]{
 			"list_open": (*step).listOpen,
-			"unlist":    func(s *step) { delete(s.job.p.open, s) },
+			"unlist":    func(s *step) { s.job.p.closeStep(s) },
 		})
 	evStepOpen = stepsChart.MustEvent("open")
 	evStepComplete = stepsChart.MustEvent("complete")
