Test the cell with real processes on a stand-in of the platform

Change: platformtest has the table, endpoints and the advice service with moods; the planner's tests hold each decision, integration/cell kills, pauses, stops and reloads real nodes. The planner tests found that a step without room was not tried again when a quarantine ended; it now is after 0.1 s.

--- /dev/null
+++ b/integration/cell/suite_test.go
@@ -0,0 +1,19 @@
+package cell_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/integration/harness"
+)
+
+func TestCell(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cell")
+}
+
+var _ = BeforeSuite(harness.Build)
+
+var _ = BeforeEach(harness.PassOverKnownRed)
--- /dev/null
+++ b/integration/harness/nodes.go
@@ -0,0 +1,213 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/platform/platformtest"
+)
+
+// Site is a deployment of hornbeam-node on the stand-in of the users' platform.
+type Site struct {
+	Table     *platformtest.Table
+	Judge     *platformtest.Judge
+	Endpoints []*platformtest.Endpoint
+	Nodes     []*Node
+	client    *http.Client
+}
+
+// Node is one hornbeam-node.
+type Node struct {
+	// Front is the address for callers.
+	Front   string
+	file    string
+	log     string
+	command *exec.Cmd
+	ended   chan error
+	waits   *duty.Group
+}
+
+// nodePorts is the number of addresses of a node.
+const nodePorts = 4
+
+// StartSite starts nodes and endpoints whose tasks take the given time, and
+// waits until the nodes take connections.
+func StartSite(nodes, endpoints int, work time.Duration) *Site {
+	table, stop := platformtest.NewTable()
+	ginkgo.DeferCleanup(stop)
+	advice, stopAdvice := platformtest.NewAdvice()
+	ginkgo.DeferCleanup(stopAdvice)
+	s := &Site{Table: table, Judge: &platformtest.Judge{}, client: &http.Client{Timeout: 5 * time.Second}}
+	table.Put("op", "config", platformtest.Config(1))
+	for i := range endpoints {
+		e, stop := platformtest.NewEndpoint(fmt.Sprintf("i-%02d", i), s.Judge, table, work)
+		ginkgo.DeferCleanup(stop)
+		s.Endpoints = append(s.Endpoints, e)
+	}
+	dir, err := os.MkdirTemp("", "hornbeam-site-")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(os.RemoveAll, dir)
+	for i := range nodes {
+		s.Nodes = append(s.Nodes, startNode(dir, i, table.Address, advice))
+	}
+	for _, n := range s.Nodes {
+		n.waitReady()
+	}
+	return s
+}
+
+func startNode(dir string, number int, table, advice string) *Node {
+	var ports []string
+	for range nodePorts {
+		ports = append(ports, freeAddress())
+	}
+	n := &Node{
+		Front: ports[0], waits: duty.NewGroup(context.Background()), file: filepath.Join(dir, fmt.Sprintf("node%d.ini", number)), log: filepath.Join(dir, fmt.Sprintf("node%d.log", number)),
+	}
+	text := fmt.Sprintf("[node]\nname = node%d\ndomain = north\n\n[listen]\nfront = %s\nready = %s\npeers = %s\nmetrics = %s\n\n"+
+		"[table]\naddress = %s\nacross = true\n\n[advice]\naddress = %s\n\n[cell]\nmax_lease = 10s\n\n"+
+		"[drain]\nlinger = 300ms\n\n[runtime]\ncpu_share = 1\nmemory = 256\n", number, ports[0], ports[1], ports[2], ports[3], table, advice)
+	gomega.Expect(os.WriteFile(n.file, []byte(text), 0o600)).To(gomega.Succeed())
+	n.Start()
+	ginkgo.DeferCleanup(n.end)
+	return n
+}
+
+// Start starts the process.
+func (n *Node) Start() {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = log.Close() }()
+	n.command = exec.Command(filepath.Join(binaries, "hornbeam-node"), "--settings", n.file)
+	n.command.Stdout, n.command.Stderr = log, log
+	gomega.Expect(n.command.Start()).To(gomega.Succeed())
+	command, ended := n.command, make(chan error, 1)
+	n.ended = ended
+	n.waits.Serve(func(context.Context) error {
+		ended <- command.Wait()
+		return nil
+	})
+}
+
+// Signal sends the signal to the process.
+func (n *Node) Signal(s syscall.Signal) {
+	gomega.Expect(n.command.Process.Signal(s)).To(gomega.Succeed())
+}
+
+// Ended waits for the process to end and returns how.
+func (n *Node) Ended() error {
+	var how error
+	gomega.Eventually(n.ended, Patience).Should(gomega.Receive(&how))
+	n.ended = nil
+	return how
+}
+
+func (n *Node) end() {
+	if n.ended == nil {
+		return
+	}
+	// The process may have ended by itself.
+	_ = n.command.Process.Kill()
+	<-n.ended
+	if ginkgo.CurrentSpecReport().Failed() {
+		if log, err := os.ReadFile(n.log); err == nil {
+			ginkgo.AddReportEntry(filepath.Base(n.log), string(log[max(0, len(log)-logTail):]))
+		}
+	}
+}
+
+// logTail is how much of a node's log a failed test shows, in bytes.
+const logTail = 30000
+
+func (n *Node) waitReady() {
+	gomega.Eventually(func() error {
+		response, err := http.Get("http://" + n.Front + "/cook/none")
+		if err != nil {
+			return err
+		}
+		if response.StatusCode == http.StatusServiceUnavailable {
+			err = eris.New("the node has no configuration yet")
+		}
+		return errors.Join(err, response.Body.Close())
+	}, Patience, 20*time.Millisecond).Should(gomega.Succeed())
+}
+
+// Log returns what the node has written.
+func (n *Node) Log() string {
+	log, err := os.ReadFile(n.log)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(log)
+}
+
+// Call makes a caller's call at a node and returns the status and the state;
+// status 0 means that there was no answer.
+func (s *Site) Call(node int, method, id string, body any) (status int, state string) {
+	raw, err := json.Marshal(body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	request, err := http.NewRequest(method, "http://"+s.Nodes[node].Front+"/cook/"+id, bytes.NewReader(raw))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	request.Host = "kitchen.example"
+	request.Header.Set("Api-Key", "key")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		State string `json:"state"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return response.StatusCode, ""
+	}
+	return response.StatusCode, answer.State
+}
+
+// Submit hands in a job of one step with the given tasks.
+func (s *Site) Submit(node int, id string, tasks int) int {
+	step := map[string]any{"count": tasks, "cpu": 1000, "mem-mb": 100, "est-ms": 300}
+	status, _ := s.Call(node, http.MethodPost, id, map[string]any{"spec": "x", "steps": []any{step}})
+	return status
+}
+
+// Completed waits until the job is shown as completed at a node.
+func (s *Site) Completed(node int, id string) {
+	gomega.Eventually(func() string {
+		_, state := s.Call(node, http.MethodGet, id, nil)
+		return state
+	}, Patience, 50*time.Millisecond).Should(gomega.Equal("completed"), id)
+}
+
+// Holder returns the node that holds the cell, by its log.
+func (s *Site) Holder() int {
+	holder := -1
+	gomega.Eventually(func() bool {
+		var latest []byte
+		for i, n := range s.Nodes {
+			log := []byte(n.Log())
+			at := bytes.LastIndex(log, []byte("state=deciding"))
+			if at < 0 {
+				continue
+			}
+			line := log[bytes.LastIndexByte(log[:at], '\n')+1 : at]
+			if holder < 0 || bytes.Compare(line, latest) > 0 {
+				holder, latest = i, line
+			}
+		}
+		return holder >= 0
+	}, Patience, 50*time.Millisecond).Should(gomega.BeTrue())
+	return holder
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -35,6 +35,9 @@
 	// failuresTried is how many steps of a priority may find no room before
 	// the rest of it is left for the next time.
 	failuresTried = 40
+	// failedPause is how long a step that found no room is left alone unless
+	// room is freed: time alone ends quarantines and the wait for stops.
+	failedPause = 100 * time.Millisecond
 	// reservationTime bounds the life of a reservation: stops and a question
 	// about tickets are over by then.
 	reservationTime = 3500 * time.Millisecond
@@ -47,7 +50,7 @@
 	if queue == nil || p.now.Before(s.retryAt) {
 		return true
 	}
-	if s.failedAt == p.freed && s.failedAt > 0 {
+	if s.failedAt == p.freed && p.now.Before(s.failedUntil) {
 		p.widen(s, queue)
 		return false
 	}
@@ -62,7 +65,7 @@
 		placed = p.placeTasks(s, candidates)
 	}
 	if !placed {
-		s.failedAt = p.freed
+		s.failedAt, s.failedUntil = p.freed, p.now.Add(failedPause)
 		p.widen(s, queue)
 	}
 	return placed
--- a/planner/run.go
+++ b/planner/run.go
@@ -170,7 +170,10 @@
 			unknown = append(unknown, s.Run)
 		}
 	}
-	e.strangers = len(unknown) > 0
+	if e.strangers != (len(unknown) > 0) {
+		e.strangers = !e.strangers
+		p.freed++
+	}
 	p.findAbsent(e, asked)
 	return unknown
 }
--- a/planner/step.go
+++ b/planner/step.go
@@ -29,8 +29,10 @@
 	// lateAt and overdueAt are when it changes.
 	ranked            bool
 	lateAt, overdueAt time.Time
-	// failedAt is the planner's count of freed room when no room was found.
-	failedAt uint64
+	// failedAt is the planner's count of freed room when no room was found;
+	// until failedUntil the step is tried again only if that has changed.
+	failedAt    uint64
+	failedUntil time.Time
 	// retryAt keeps the step from being planned again at once.
 	retryAt time.Time
 }
@@ -178,7 +180,7 @@
 		return
 	}
 	s.advice.outstanding = false
-	s.failedAt = 0
+	s.failedUntil = time.Time{}
 	if tickets == nil {
 		for _, id := range q.Endpoints {
 			if _, known := s.advice.good[id]; !known {
