Keep starts from an endpoint that leaves them unanswered

Cause: the new integration test: best fit chose the same endpoint each time, so that a task whose starts got no answer never ran elsewhere.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -355,8 +355,15 @@
 	p.fire(id, evRefused)
 }
 
-// Unanswered says that a start or a stop got no answer.
-func (p *Planner) Unanswered(id jobs.RunID) { p.fire(id, evSilence) }
+// Unanswered says that a start or a stop got no answer. An endpoint that leaves
+// starts unanswered gets none for a while.
+func (p *Planner) Unanswered(id jobs.RunID) {
+	if r := p.runs[id]; r != nil && r.state == runStarting {
+		r.at.quarantine(p.now)
+		r.task.avoided = append(r.task.avoided, r.at.ID)
+	}
+	p.fire(id, evSilence)
+}
 
 // StopConfirmed says that the endpoint has taken the stop.
 func (p *Planner) StopConfirmed(id jobs.RunID) { p.fire(id, evStopConfirmed) }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -175,6 +175,14 @@
 		Expect(again.Starts[0].Run.Number).To(BeNumerically(">", first.Run.Number))
 	})
 
+	It("keeps further starts from its endpoint for a while", func() {
+		w := newWorld(1, 1)
+		w.submit("a", batch, single)
+		w.Unanswered(w.plan().Starts[0].Run)
+		w.submit("b", batch, single)
+		Expect(w.plan().Starts).To(BeEmpty())
+	})
+
 	It("is stopped at a new life of the endpoint, which may still carry it out", func() {
 		w := newWorld(1, 1)
 		w.submit("a", batch, single)
