Keep the holder's rows in one part and the lease in its own

Ruled out: longer timeouts alone, which made the queues longer.

Change: outcome and progress stand in one part, rows of ended jobs are deleted later in the background, jobs are spread over 16 parts, and the lease is renewed on condition of its own row.

--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -92,7 +92,7 @@
 	n.addHolder()
 	n.view = view.New(platform.Source{}, n.holder, clock.Boot{}, log)
 	n.front = front.New(n.ctx, front.Options{
-		Lanes: holder.Lanes(s.Table.Lanes), View: n.view, Table: n.relayed,
+		Parts: holder.Parts(s.Table.Parts), View: n.view, Table: n.relayed,
 		Clock: clock.Boot{}, Wall: clock.System{}, Log: log,
 	})
 	return n
@@ -101,7 +101,7 @@
 func (n *node) addHolder() {
 	s := n.settings
 	n.holder = holder.New(n.ctx, holder.Settings{
-		Node: s.Node.Name, Lanes: holder.Lanes(s.Table.Lanes), MaxLease: s.Cell.MaxLease,
+		Node: s.Node.Name, Parts: holder.Parts(s.Table.Parts), MaxLease: s.Cell.MaxLease,
 	}, holder.Outside{
 		Table: n.table, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: n.asker,
 		Instances: n.directory.Others,
--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -51,9 +51,9 @@
 	Address string `ini:"address" validate:"hostname_port"`
 	// Across says that a transaction may touch several parts.
 	Across bool `ini:"across"`
-	// Lanes is the number of parts over which jobs are spread. Without
-	// transactions over several parts it has to be 1.
-	Lanes int `ini:"lanes" validate:"min=1,max=64"`
+	// Parts is the number of parts over which jobs are spread. Without
+	// transactions over several parts it is 1.
+	Parts int `ini:"parts" validate:"min=1,max=64"`
 }
 
 // adviceSection is the advice service.
@@ -87,16 +87,16 @@
 
 // The defaults of settings that the platform does not tell.
 const (
-	// defaultLanes spreads the jobs over so many parts that a table that takes
-	// 60 times as long for each write still takes 50 a second.
-	defaultLanes = 8
+	// defaultParts spreads the jobs over so many parts that a table that takes
+	// 60 times as long for each write, 0.2 s, still takes 80 jobs a second.
+	defaultParts = 16
 	// defaultLinger covers two checks of the ready page, one a second.
 	defaultLinger = 2300 * time.Millisecond
 )
 
 func loadSettings(file string) (*nodeSettings, error) {
 	s := &nodeSettings{
-		Table: tableSection{Lanes: defaultLanes},
+		Table: tableSection{Parts: defaultParts},
 		Drain: drainSection{Linger: defaultLinger, Timeout: 5 * time.Second},
 		Log:   logging.Settings{Level: "info"},
 	}
@@ -105,7 +105,7 @@
 	}
 	s.file = file
 	if !s.Table.Across {
-		s.Table.Lanes = 1
+		s.Table.Parts = 1
 	}
 	return s, nil
 }
--- a/election/election.go
+++ b/election/election.go
@@ -19,13 +19,15 @@
 	"github.com/hornbeamworks/hornbeam/storage"
 )
 
-// The rows of the election. The epoch row stands in the table of the jobs, so
+// The rows of the election. The lease row has a part of its own, so that its
+// renewals wait for no other writes. The epoch row stands in the table of the jobs, so
 // that whoever follows that table's feed sees a new epoch before the jobs that
 // were accepted after it.
 const (
-	LeaseTable = "holder"
-	LeaseKey   = "holder//lease"
-	EpochKey   = "jobs//holder"
+	LeaseTable  = "holder"
+	leasePrefix = "holder/lease/"
+	LeaseKey    = leasePrefix + "lease"
+	EpochKey    = "jobs//holder"
 )
 
 const (
@@ -230,7 +232,7 @@
 func (e *Election) readLease() time.Duration {
 	ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
 	defer cancel()
-	found, err := e.Table.Scan(ctx, LeaseTable+"//")
+	found, err := e.Table.Scan(ctx, leasePrefix)
 	if err != nil {
 		return retryPause
 	}
@@ -287,10 +289,13 @@
 	return e.confirm(ctx, next, lease, sent)
 }
 
-// confirm reads the epoch row: a commit without an answer may have taken effect.
+// confirm reads the rows: a commit without an answer may have taken effect.
 func (e *Election) confirm(ctx context.Context, next Epoch, lease Lease, sent time.Time) time.Duration {
 	found, version, err := e.readEpoch(ctx)
 	e.known = false
+	if err == nil && found == next {
+		e.leaseAt, err = e.ownLease(ctx, lease)
+	}
 	if err != nil || found != next {
 		e.fire(evLost)
 		return retryPause
@@ -313,6 +318,23 @@
 	return found, row.Version, json.Unmarshal(row.Value, &found)
 }
 
+// ownLease returns the version of the lease row, or storage.ErrConflict if it is
+// another instance's.
+func (e *Election) ownLease(ctx context.Context, own Lease) (storage.RowVersion, error) {
+	row, err := e.Table.Get(ctx, LeaseKey)
+	if err != nil {
+		return 0, err
+	}
+	var found Lease
+	if err := json.Unmarshal(row.Value, &found); err != nil {
+		return 0, eris.Wrap(err, "decoding the lease row")
+	}
+	if found.Epoch != own.Epoch || found.Incarnation != own.Incarnation {
+		return 0, storage.ErrConflict
+	}
+	return row.Version, nil
+}
+
 func (e *Election) tellElected() {
 	e.Listener.Elected(Elected{Epoch: e.epoch.Epoch, Version: e.epochAt, Until: e.sent.Add(LeaseTime)})
 }
@@ -350,10 +372,31 @@
 	defer cancel()
 	e.lease.Renewals++
 	e.lease.Released = released
-	return e.Table.Commit(ctx, storage.Txn{
-		Checks: []storage.Check{{Key: EpochKey, Version: e.epochAt}},
+	version, err := e.Table.Write(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}},
 		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
 	})
+	if err == nil {
+		e.leaseAt = version
+		return nil
+	}
+	if !eris.Is(err, storage.ErrConflict) {
+		return err
+	}
+	// An earlier renewal without an answer took effect, the known version is
+	// not the row's, or another instance holds the cell.
+	e.leaseAt, err = e.ownLease(ctx, e.lease)
+	if err != nil {
+		return err
+	}
+	version, err = e.Table.Write(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
+	})
+	if err == nil {
+		e.leaseAt = version
+	}
+	return err
 }
 
 // encode returns a row of plain fields, which always encode.
--- a/front/ask.go
+++ b/front/ask.go
@@ -23,7 +23,7 @@
 	// readerRing is the number of questions that may wait for one of them.
 	readerRing = 128
 	// readTimeout bounds one read.
-	readTimeout = 700 * time.Millisecond
+	readTimeout = 1200 * time.Millisecond
 	// queuesAge is how old the numbers of waiting jobs may be; callers are
 	// told numbers of up to 2 s ago, and the holder writes every 0.7 s.
 	queuesAge = 500 * time.Millisecond
@@ -90,7 +90,7 @@
 // read asks a reader with room and waits for its reply.
 func (f *Front) read(v visit) statusReply {
 	q := &question{id: v.id, reply: make(chan statusReply, 1)}
-	first := f.Lanes.Of(v.id)
+	first := f.Parts.Of(v.id)
 	sent := false
 	for i := range f.readers {
 		if sent = f.readers[(first+i)%len(f.readers)].Offer(q); sent {
@@ -110,13 +110,16 @@
 	}
 }
 
-// status reads a job's status row.
+// status reads what is known of a job: its outcome once it has begun, and before
+// that the row of its acceptance.
 func (f *Front) status(parent context.Context, id jobs.ID) (jobs.Status, *Answer) {
 	ctx, cancel := context.WithTimeout(parent, readTimeout)
 	defer cancel()
 	var status jobs.Status
-	key := f.Lanes.Key(holder.StatusTable, id)
-	row, err := f.Table.Get(ctx, key)
+	row, err := f.Table.Get(ctx, holder.OutcomeKey(id))
+	if eris.Is(err, storage.ErrNotFound) {
+		row, err = f.Table.Get(ctx, f.Parts.Key(holder.AcceptedTable, id))
+	}
 	if eris.Is(err, storage.ErrNotFound) {
 		return status, f.refuse(result.UnknownRequest, "there is no such job")
 	}
@@ -124,7 +127,7 @@
 		return status, f.refuse(result.StoreUnavailable, err.Error())
 	}
 	if err := json.Unmarshal(row.Value, &status); err != nil {
-		f.Log.Error("status_unreadable", slog.String("key", key), slog.Any("error", err))
+		f.Log.Error("status_unreadable", slog.String("key", row.Key), slog.Any("error", err))
 		return status, f.refuse(result.StoreUnavailable, "the job's status can't be read")
 	}
 	if status.State.Final() {
--- a/front/front.go
+++ b/front/front.go
@@ -30,6 +30,9 @@
 	readyAge = 3500 * time.Millisecond
 	// retryAfter is when a refused caller is told to come back.
 	retryAfter = time.Second
+	// lanes is the number of threads that write jobs; each has some of the
+	// parts, so that a slow write holds up those alone.
+	lanes = 8
 	// queueLabels bounds the number of queues in metrics.
 	queueLabels = 128
 )
@@ -63,7 +66,8 @@
 
 // Options are what a front needs.
 type Options struct {
-	Lanes holder.Lanes
+	// Parts is the number of parts over which jobs are spread.
+	Parts holder.Parts
 	View  *view.View
 	Table storage.FeedTable
 	// Clock is steady, Wall tells the date.
@@ -84,7 +88,7 @@
 // New returns a front whose duties have not started.
 func New(ctx context.Context, o Options) *Front {
 	f := &Front{Options: o, ctx: ctx, finals: newFinals()}
-	for number := range max(int(o.Lanes), 1) {
+	for number := range min(lanes, max(int(o.Parts), 1)) {
 		f.lanes = append(f.lanes, newLane(f, number))
 	}
 	f.readers = newReaders(f)
--- a/front/submit.go
+++ b/front/submit.go
@@ -80,7 +80,7 @@
 
 // hand gives the submission to its lane and waits for the answer.
 func (f *Front) hand(v visit, s *submission) Answer {
-	l := f.lanes[f.Lanes.Of(v.id)]
+	l := f.lanes[f.Parts.Of(v.id)%len(f.lanes)]
 	if l.away.Load() {
 		return *f.refuse(result.StoreUnavailable, "the table does not answer")
 	}
@@ -128,7 +128,7 @@
 	return ""
 }
 
-// lane is the duty that writes the submissions of one part.
+// lane is the duty that writes the submissions of some parts.
 type lane struct {
 	*duty.Duty[*submission]
 	f     *Front
@@ -211,11 +211,29 @@
 			accept = append(accept, s)
 		}
 	}
-	if len(accept) > 0 {
-		l.accept(accept)
+	for _, part := range l.byPart(accept) {
+		l.accept(part)
 	}
 }
 
+// byPart groups submissions by the part of their rows: a write of several parts
+// takes twice as long and waits for all of them.
+func (l *lane) byPart(batch []*submission) [][]*submission {
+	var groups [][]*submission
+	at := map[int]int{}
+	for _, s := range batch {
+		part := l.f.Parts.Of(s.job.ID)
+		i, found := at[part]
+		if !found {
+			i = len(groups)
+			at[part] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], s)
+	}
+	return groups
+}
+
 // accept writes the jobs together. If one of them is known already, each is
 // written by itself.
 func (l *lane) accept(batch []*submission) {
@@ -239,11 +257,11 @@
 func (l *lane) write(list []*jobs.Job) error {
 	var txn storage.Txn
 	for _, job := range list {
-		status := l.f.Lanes.Key(holder.StatusTable, job.ID)
-		txn.Checks = append(txn.Checks, storage.Check{Key: status})
+		accepted := l.f.Parts.Key(holder.AcceptedTable, job.ID)
+		txn.Checks = append(txn.Checks, storage.Check{Key: accepted})
 		txn.Writes = append(txn.Writes,
-			storage.Write{Key: l.f.Lanes.Key(holder.JobsTable, job.ID), Value: holder.Encode(job)},
-			storage.Write{Key: status, Value: holder.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
+			storage.Write{Key: l.f.Parts.Key(holder.JobsTable, job.ID), Value: holder.Encode(job)},
+			storage.Write{Key: accepted, Value: holder.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
 	}
 	return l.commit(txn)
 }
@@ -310,7 +328,7 @@
 func (l *lane) cancel(wanted *jobs.Job) Answer {
 	ctx, cancel := context.WithTimeout(l.f.ctx, writeTimeout)
 	defer cancel()
-	key := l.f.Lanes.Key(holder.JobsTable, wanted.ID)
+	key := l.f.Parts.Key(holder.JobsTable, wanted.ID)
 	row, err := l.f.Table.Get(ctx, key)
 	if eris.Is(err, storage.ErrNotFound) {
 		return l.cancelEnded(wanted)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -53,8 +53,8 @@
 type Settings struct {
 	// Node names this instance.
 	Node string
-	// Lanes is the number of parts over which jobs are spread.
-	Lanes Lanes
+	// Parts is the number of parts over which jobs are spread.
+	Parts Parts
 	// MaxLease bounds an endpoint's lease.
 	MaxLease time.Duration
 }
@@ -118,6 +118,7 @@
 	couriers []*courier
 	consults *consults
 	recorder *recorder
+	cleaner  *cleaner
 	feeds    []*feed.Feed
 	retries  []retry
 	// decided is when the last plan was made, deciding how long that took.
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -22,6 +22,8 @@
 	recordPeriod = 20 * time.Millisecond
 	// recordEntries bounds the entries of a write; the table takes 100.
 	recordEntries = 90
+	// entriesOfJob is the most entries that one job takes.
+	entriesOfJob = 3
 	// recordTimeout bounds one try of a write.
 	recordTimeout = 900 * time.Millisecond
 	// recordRetry is the pause after a try that failed.
@@ -38,8 +40,15 @@
 	busy    bool
 	lastAt  time.Time
 	changed map[jobs.ID]bool
+	// removed are the jobs of which nothing runs any more: their rows are
+	// deleted by the cleaner, and then, as dropped, their progress.
 	removed map[jobs.ID]bool
-	final   map[jobs.ID]finalState
+	dropped map[jobs.ID]bool
+	// cleaning are the removed jobs in the write under way.
+	cleaning []jobs.ID
+	final    map[jobs.ID]jobs.Status
+	// decided are the final states of jobs whose progress is still recorded.
+	decided map[jobs.ID]jobs.State
 	gone    map[jobs.ID]time.Time
 	begun   map[jobs.ID]bool
 	queues  map[jobs.QueueName]int
@@ -57,10 +66,6 @@
 	born, number int64
 }
 
-type finalState struct {
-	jobs.Status
-}
-
 // writer is the duty that makes the writes.
 type writer struct {
 	*duty.Duty[[]storage.Write]
@@ -79,7 +84,9 @@
 		writer:  w,
 		changed: map[jobs.ID]bool{},
 		removed: map[jobs.ID]bool{},
-		final:   map[jobs.ID]finalState{},
+		dropped: map[jobs.ID]bool{},
+		final:   map[jobs.ID]jobs.Status{},
+		decided: map[jobs.ID]jobs.State{},
 		gone:    map[jobs.ID]time.Time{},
 		begun:   map[jobs.ID]bool{},
 		seen:    map[model.EndpointID]recordedEnds{},
@@ -103,9 +110,8 @@
 
 // outcome notes a job's final state.
 func (r *recorder) outcome(h *Holder, o planner.Outcome) {
-	r.final[o.Job] = finalState{jobs.Status{
-		State: o.State, Team: string(o.Team), Queue: o.Queue, Ended: h.Wall.Now().UnixMilli(),
-	}}
+	r.decided[o.Job] = o.State
+	r.final[o.Job] = jobs.Status{State: o.State, Team: string(o.Team), Queue: o.Queue, Ended: h.Wall.Now().UnixMilli()}
 }
 
 // flush starts a write if there is something to write and none is under way.
@@ -117,7 +123,7 @@
 	if len(writes) == 0 && !r.endsWaiting(h) {
 		return
 	}
-	if len(r.changed) == 0 && len(r.removed) == 0 && len(r.final) == 0 {
+	if len(r.changed) == 0 && len(r.final) == 0 {
 		r.coverEnds(h)
 	}
 	if len(writes) == 0 {
@@ -168,8 +174,8 @@
 		writes = append(writes, put(QueuesKey, Queues{Waiting: r.queues}))
 		r.queues = nil
 	}
-	for _, id := range sortedIDs(r.changed, r.removed, r.final) {
-		if len(writes) >= recordEntries-4 {
+	for _, id := range r.waiting() {
+		if len(writes) >= recordEntries-entriesOfJob {
 			break
 		}
 		writes = append(writes, r.rowsOf(h, id)...)
@@ -196,25 +202,30 @@
 func (r *recorder) rowsOf(h *Holder, id jobs.ID) []storage.Write {
 	var writes []storage.Write
 	if final, decided := r.final[id]; decided {
-		writes = append(writes, put(h.Lanes.Key(StatusTable, id), final.Status))
+		writes = append(writes, put(OutcomeKey(id), final))
 		delete(r.final, id)
 	}
+	if r.dropped[id] {
+		delete(r.dropped, id)
+		delete(r.decided, id)
+		return append(writes, drop(progressKey(id)))
+	}
 	if r.removed[id] {
 		delete(r.removed, id)
 		delete(r.changed, id)
 		delete(r.begun, id)
-		return append(writes, drop(h.Lanes.Key(JobsTable, id)), drop(h.Lanes.Key(progressTable, id)))
+		r.cleaning = append(r.cleaning, id)
+		return append(writes, put(progressKey(id), jobs.Progress{Begun: true, Outcome: r.decided[id]}))
 	}
 	delete(r.changed, id)
 	progress, known := h.cell.planner.Progress(id)
 	if !known {
 		return writes
 	}
-	writes = append(writes, put(h.Lanes.Key(progressTable, id), progress))
+	writes = append(writes, put(progressKey(id), progress))
 	if job := h.cell.planner.Job(id); progress.Begun && progress.Outcome == "" && !r.begun[id] {
 		r.begun[id] = true
-		writes = append(writes, put(h.Lanes.Key(StatusTable, id),
-			jobs.Status{State: jobs.Running, Team: string(job.Team), Queue: job.Queue}))
+		writes = append(writes, put(OutcomeKey(id), jobs.Status{State: jobs.Running, Team: string(job.Team), Queue: job.Queue}))
 	}
 	return writes
 }
@@ -240,15 +251,15 @@
 	return row
 }
 
-func sortedIDs(changed, removed map[jobs.ID]bool, final map[jobs.ID]finalState) []jobs.ID {
+// waiting returns the jobs of which something has to be written, in order.
+func (r *recorder) waiting() []jobs.ID {
 	all := map[jobs.ID]bool{}
-	for id := range changed {
-		all[id] = true
-	}
-	for id := range removed {
-		all[id] = true
+	for _, set := range []map[jobs.ID]bool{r.changed, r.removed, r.dropped} {
+		for id := range set {
+			all[id] = true
+		}
 	}
-	for id := range final {
+	for id := range r.final {
 		all[id] = true
 	}
 	ids := make([]jobs.ID, 0, len(all))
@@ -270,6 +281,8 @@
 			h.orderStart(s)
 		}
 		c.recorder.recording = nil
+		c.cleaner.add(h, c.recorder.cleaning)
+		c.recorder.cleaning = nil
 	}
 }
 
--- a/holder/records.go
+++ b/holder/records.go
@@ -10,25 +10,38 @@
 	"github.com/hornbeamworks/hornbeam/storage"
 )
 
-// The tables of the cell. Rows of a job stand in the part of its lane.
+// The tables of the cell. What fronts write of a job stands in the job's part,
+// so that a slow table still takes many jobs; what the holder writes stands in
+// one part, so that one transaction holds it.
 const (
 	// JobsTable holds the accepted jobs until nothing of them runs any more.
 	JobsTable = "jobs"
-	// StatusTable holds what callers are told of a job.
-	StatusTable = "status"
-	// progressTable holds what outlasts the holder of a job under way.
-	progressTable = "progress"
+	// AcceptedTable has a row for each job that was ever accepted: it keeps an
+	// id from being accepted twice.
+	AcceptedTable = "accepted"
+	// outcomePrefix is the prefix of what callers are told of jobs that have
+	// begun or ended.
+	outcomePrefix = "outcome//"
+	// progressPrefix is the prefix of what outlasts the holder of a job under
+	// way.
+	progressPrefix = "progress//"
 	// QueuesKey is the row of the waiting jobs.
 	QueuesKey = "cell//queues"
 	rosterKey = "cell//roster"
 	recordKey = "cell//record"
 )
 
-// Lanes maps jobs to the parts of their rows.
-type Lanes int
+// OutcomeKey returns the key of the row that tells the state of a job that has
+// begun.
+func OutcomeKey(id jobs.ID) string { return outcomePrefix + string(id) }
 
-// Of returns the lane of a job.
-func (n Lanes) Of(id jobs.ID) int {
+func progressKey(id jobs.ID) string { return progressPrefix + string(id) }
+
+// Parts is the number of parts over which jobs are spread.
+type Parts int
+
+// Of returns the part of a job.
+func (n Parts) Of(id jobs.ID) int {
 	if n <= 1 {
 		return 0
 	}
@@ -38,24 +51,24 @@
 }
 
 // Key returns the key of a job's row in the table.
-func (n Lanes) Key(table string, id jobs.ID) string {
+func (n Parts) Key(table string, id jobs.ID) string {
 	return n.prefix(table, n.Of(id)) + string(id)
 }
 
-// Prefixes returns the prefixes of all lanes of the table.
-func (n Lanes) Prefixes(table string) []string {
+// Prefixes returns the prefixes of all parts of the table.
+func (n Parts) Prefixes(table string) []string {
 	var all []string
-	for lane := range max(int(n), 1) {
-		all = append(all, n.prefix(table, lane))
+	for part := range max(int(n), 1) {
+		all = append(all, n.prefix(table, part))
 	}
 	return all
 }
 
-func (n Lanes) prefix(table string, lane int) string {
+func (n Parts) prefix(table string, part int) string {
 	if n <= 1 {
 		return table + "//"
 	}
-	return table + "/" + strconv.Itoa(lane) + "/"
+	return table + "/" + strconv.Itoa(part) + "/"
 }
 
 // idOf returns the job of a row's key.
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -89,7 +89,7 @@
 	}
 	h.cell = c
 	c.planner.Clock(h.now, h.Wall.Now().UnixMilli())
-	reader := &restorer{table: h.Table, lanes: h.Lanes, epoch: c.epoch, ctx: ctx, h: h}
+	reader := &restorer{table: h.Table, parts: h.Parts, epoch: c.epoch, ctx: ctx, h: h}
 	reader.Duty = duty.New("restorer", 1, duty.HandlerFunc[struct{}](reader.handle))
 	h.Start(reader)
 }
@@ -111,6 +111,7 @@
 	c.consults.stop()
 	if c.recorder != nil {
 		c.recorder.writer.Stop()
+		c.cleaner.Stop()
 	}
 }
 
@@ -119,6 +120,7 @@
 	c, r := h.cell, h.cell.restored
 	c.restored = nil
 	c.recorder = newRecorder(h, r.record)
+	c.cleaner = newCleaner(h)
 	if h.catalog != nil {
 		c.planner.SetCatalog(h.catalog)
 	}
@@ -133,6 +135,12 @@
 	for id, job := range r.jobs {
 		c.planner.AddJob(job, r.progress[id])
 	}
+	for id := range r.progress {
+		if r.jobs[id] == nil {
+			// Its row was deleted already.
+			c.recorder.dropped[id] = true
+		}
+	}
 	for _, id := range c.planner.Endpoints() {
 		if c.links[id] == nil {
 			// Nobody knows its address: its lease is waited out.
@@ -153,7 +161,7 @@
 	}
 	common := feed.Options{Source: h.Table, Clock: h.Clock, Log: h.Log}
 	jobsFeed := common
-	jobsFeed.ID, jobsFeed.Table, jobsFeed.Prefixes = "jobs_feed", JobsTable, h.Lanes.Prefixes(JobsTable)
+	jobsFeed.ID, jobsFeed.Table, jobsFeed.Prefixes = "jobs_feed", JobsTable, h.Parts.Prefixes(JobsTable)
 	jobsFeed.From, jobsFeed.Pause = from, jobsPause
 	jobsFeed.Sink = func(u feed.Update) { h.tell(jobsMessage{c.epoch, u}) }
 	registry := common
@@ -249,7 +257,7 @@
 type restorer struct {
 	*duty.Duty[struct{}]
 	table storage.FeedTable
-	lanes Lanes
+	parts Parts
 	epoch uint64
 	ctx   context.Context
 	h     *Holder
@@ -305,7 +313,7 @@
 }
 
 func (r *restorer) readJobs(ctx context.Context, found *restored) error {
-	for _, prefix := range r.lanes.Prefixes(JobsTable) {
+	for _, prefix := range r.parts.Prefixes(JobsTable) {
 		rows, err := r.table.Scan(ctx, prefix)
 		if err != nil {
 			return err
@@ -329,18 +337,16 @@
 }
 
 func (r *restorer) readProgress(ctx context.Context, found *restored) error {
-	for _, prefix := range r.lanes.Prefixes(progressTable) {
-		rows, err := r.table.Scan(ctx, prefix)
-		if err != nil {
-			return err
-		}
-		for _, row := range rows.Rows {
-			var progress jobs.Progress
-			if err := json.Unmarshal(row.Value, &progress); err != nil {
-				return eris.Wrapf(err, "decoding the progress at %s", row.Key)
-			}
-			found.progress[idOf(row.Key)] = &progress
+	rows, err := r.table.Scan(ctx, progressPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows.Rows {
+		var progress jobs.Progress
+		if err := json.Unmarshal(row.Value, &progress); err != nil {
+			return eris.Wrapf(err, "decoding the progress at %s", row.Key)
 		}
+		found.progress[idOf(row.Key)] = &progress
 	}
 	return nil
 }
