Take a gang as standing still only when no member moves; log without waiting

Lines on requests were left out at 20 a second, which hid it.

Change: the last move of any member counts; a writer duty behind a bounded ring writes the log, and the node's settings allow 500 lines of an event a second.

--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -90,6 +90,9 @@
 	// defaultParts spreads the jobs over so many parts that a table that takes
 	// 60 times as long for each write, 0.2 s, still takes 80 jobs a second.
 	defaultParts = 16
+	// defaultBurst lets each decision on a request leave its line at the rates
+	// of today's deployments, and bounds what a storm writes.
+	defaultBurst = 500
 	// defaultLinger covers two checks of the ready page, one a second.
 	defaultLinger = 2300 * time.Millisecond
 )
@@ -98,7 +101,7 @@
 	s := &nodeSettings{
 		Table: tableSection{Parts: defaultParts},
 		Drain: drainSection{Linger: defaultLinger, Timeout: 5 * time.Second},
-		Log:   logging.Settings{Level: "info"},
+		Log:   logging.Settings{Level: "info", Burst: defaultBurst},
 	}
 	if err := settings.Load(file, s); err != nil {
 		return nil, err
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -10,6 +11,7 @@
 	"github.com/urfave/cli/v2"
 
 	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/process"
 )
@@ -80,11 +82,16 @@
 		fmt.Println("settings are sound")
 		return nil
 	}
-	log, err := logging.New(os.Stderr, p.LogName, p.Log(settings), clock.System{})
+	writer := logging.NewAsyncWriter(os.Stdout)
+	log, err := logging.New(writer, p.LogName, p.Log(settings), clock.System{})
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
-	return p.Serve(settings, log)
+	lines := duty.NewGroup(context.Background())
+	lines.Start(writer)
+	served := p.Serve(settings, log)
+	writer.Stop()
+	return errors.Join(served, lines.Wait())
 }
 
 func exitCode(err error) int {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// burst is the number of lines of one event that are written in a period.
-	burst = 20
+	// defaultBurst is the number of lines of one event that are written in a
+	// period where the settings give none.
+	defaultBurst = 20
 	// period is the length of the window in which lines are counted.
 	period = time.Second
 	// maxEvents bounds the event names that are counted apart.
@@ -28,12 +29,16 @@
 type Settings struct {
 	// Level is the lowest level written: debug, info, warning or error.
 	Level string `ini:"level" validate:"oneof=debug info warning error"`
+	// Burst is the number of lines of one event that are written in a second;
+	// 0 stands for the default.
+	Burst int `ini:"burst" validate:"min=0"`
 }
 
 // Logger writes events. It can be used by every thread.
 type Logger struct {
 	out     *logrus.Logger
 	process string
+	burst   int
 	clock   clock.Clock
 
 	// mu guards storms: events come from all duties.
@@ -53,7 +58,11 @@
 	out := logrus.New()
 	out.SetOutput(w)
 	out.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	l := &Logger{out: out, process: process, clock: c, storms: map[string]*storm{}}
+	burst := s.Burst
+	if burst == 0 {
+		burst = defaultBurst
+	}
+	l := &Logger{out: out, process: process, burst: burst, clock: c, storms: map[string]*storm{}}
 	return l, l.SetLevel(s.Level)
 }
 
@@ -61,7 +70,7 @@
 func Discard() *Logger {
 	out := logrus.New()
 	out.SetOutput(io.Discard)
-	return &Logger{out: out, clock: clock.System{}, storms: map[string]*storm{}}
+	return &Logger{out: out, burst: defaultBurst, clock: clock.System{}, storms: map[string]*storm{}}
 }
 
 // SetLevel changes the level while the process runs.
@@ -122,7 +131,7 @@
 		suppressed = s.suppressed
 		*s = storm{since: now}
 	}
-	if s.written >= burst {
+	if s.written >= l.burst {
 		s.suppressed++
 		return 0, false
 	}
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -138,6 +138,22 @@
 	return append(list, e)
 }
 
+// lastMoved returns when the run last showed progress. Members of a gang reach
+// their ends at different times and wait for each other: the gang stands still
+// when none of them moves.
+func (r *run) lastMoved() time.Time {
+	if !r.task.step.Gang {
+		return later(r.movedAt, r.since)
+	}
+	var last time.Time
+	for _, t := range r.task.step.tasks {
+		for _, member := range t.copies() {
+			last = later(last, later(member.movedAt, member.since))
+		}
+	}
+	return last
+}
+
 // watchProgress stops runs that stand still. A gang stands still as a whole, so
 // that it says nothing of the endpoint of one member.
 func (p *Planner) watchProgress() {
@@ -146,7 +162,7 @@
 		if r.state != runRunning || s.Lasting || r.at.state != endpointListed {
 			continue
 		}
-		if p.now.Sub(later(r.movedAt, r.since)) > stuckTime {
+		if p.now.Sub(r.lastMoved()) > stuckTime {
 			r.reason = "shows no progress"
 			if !s.Gang {
 				r.at.quarantine(p.now)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -263,6 +263,28 @@
 		}
 	})
 
+	It("is left alone while one member still moves, though others wait at their end", func() {
+		w := newWorld(1, 2)
+		w.submit("a", gangs, gang)
+		plan := w.plan()
+		w.start(plan)
+		for second := range 6 {
+			w.tick(time.Second)
+			listings := map[model.EndpointID][]any{}
+			for i, s := range plan.Starts {
+				percent := 99.0
+				if i == 0 {
+					percent = float64(10 * second)
+				}
+				listings[s.Endpoint] = append(listings[s.Endpoint], running(s.Run, percent))
+			}
+			for id, l := range listings {
+				w.list(id, l...)
+			}
+			Expect(w.plan().Stops).To(BeEmpty())
+		}
+	})
+
 	It("is done with the end of one member", func() {
 		w := newWorld(1, 2)
 		w.submit("a", gangs, gang)
