Let a step count as in time only with time to spare; delete ended jobs faster

Cause: under overload steps were started when their estimate just fitted, and ended late; on the grown deployment rows of ended jobs were deleted slower than they came, so that a successor read 2,916 jobs of which 800 were under way.

--- a/holder/cleaner.go
+++ b/holder/cleaner.go
@@ -18,6 +18,9 @@
 	// cleanSlowPeriod: a slow table has more urgent writes.
 	cleanSlow       = 150 * time.Millisecond
 	cleanSlowPeriod = 10 * time.Second
+	// cleanBacklogPeriod is the time between two deletions while more waits
+	// than one of them takes.
+	cleanBacklogPeriod = 200 * time.Millisecond
 	// cleanTimeout bounds one deletion.
 	cleanTimeout = 2 * time.Second
 	// cleanRing is the number of batches that may wait; a batch that finds no
@@ -65,7 +68,7 @@
 		return wait
 	}
 	c.clean()
-	return cleanPeriod
+	return max(c.nextAt.Sub(c.h.Clock.Now()), 0)
 }
 
 // clean deletes what fits into one write.
@@ -90,6 +93,9 @@
 	}
 	c.h.tell(cleanedMessage{epoch: c.epoch, jobs: append([]jobs.ID(nil), ended...)})
 	c.waiting = c.waiting[len(ended):]
+	if len(c.waiting) >= recordEntries && now.Sub(began) <= cleanSlow {
+		c.nextAt = now.Add(cleanBacklogPeriod)
+	}
 }
 
 // cleanedMessage says that the rows of the jobs are deleted.
--- a/planner/order.go
+++ b/planner/order.go
@@ -10,6 +10,9 @@
 	// lateFactor is the multiple of a job's objective after which its end is
 	// of no use to its caller any more.
 	lateFactor = 3
+	// estimateSlack is the part of its estimated time that a step needs to spare
+	// to count as in time: estimates are rough.
+	estimateSlack = 0.25
 	// chainAdvice is the number of endpoints of the one question for a step
 	// that a job's objective allows for.
 	chainAdvice = 30
@@ -90,7 +93,8 @@
 	objective := s.job.objective(queue.Stretch, queue.Objective, queue.Advice.Cost(chainAdvice))
 	left := s.job.chainFrom(s.id.Step)
 	s.rank.due = from.Add(objective - left)
-	s.lateAt, s.overdueAt = s.rank.due, from.Add(lateFactor*objective-left)
+	s.lateAt = s.rank.due.Add(-time.Duration(estimateSlack * float64(left)))
+	s.overdueAt = from.Add(lateFactor*objective - left)
 }
 
 // startOf returns when the time of an occurrence began.
