--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -103,13 +103,13 @@
 	n.holder = holder.New(n.ctx, holder.Settings{
 		Node: s.Node.Name, Parts: holder.Parts(s.Table.Parts), MaxLease: s.Cell.MaxLease,
 	}, holder.Outside{
-		Table: n.table, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: n.asker,
+		Table: n.relayed, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: n.asker,
 		Instances: n.directory.Others,
 		Clock:     clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Start,
 	})
 	n.election = election.New(n.ctx, election.Options{
 		Node: s.Node.Name, Incarnation: n.incarnation, CPUShare: s.Runtime.CPUShare,
-		Table: n.table, Clock: clock.Boot{}, Log: n.log, Listener: n.holder,
+		Table: n.relayed, Clock: clock.Boot{}, Log: n.log, Listener: n.holder,
 	})
 }
 
