Look for room that could be stopped only where none is free

Cause: a question for advice looked at every run of every endpoint; at 350 endpoints it took half of the planner's time (profile of the node with 840 starts a second: 0.37 core, planner 13 %, no other part above 16 %).

--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -9,6 +9,8 @@
 	// checkpointLoss is the work that a stop at a checkpoint throws away at
 	// most: what came after the last one, and the restart.
 	checkpointLoss = 600 * time.Millisecond
+	// watchPeriod is how often the progress of runs is looked at.
+	watchPeriod = 200 * time.Millisecond
 	// stuckTime is how long a run may show no progress on an endpoint that
 	// answers before it is stopped.
 	stuckTime = 2500 * time.Millisecond
@@ -157,6 +159,10 @@
 // watchProgress stops runs that stand still. A gang stands still as a whole, so
 // that it says nothing of the endpoint of one member.
 func (p *Planner) watchProgress() {
+	if p.now.Sub(p.watchedAt) < watchPeriod {
+		return
+	}
+	p.watchedAt = p.now
 	for _, r := range p.runs {
 		s := r.task.step
 		if r.state != runRunning || s.Lasting || r.at.state != endpointListed {
--- a/planner/place.go
+++ b/planner/place.go
@@ -119,28 +119,43 @@
 	return false
 }
 
-// toAsk chooses the endpoints to ask about: those with most room first.
+// toAsk chooses the endpoints to ask about: those with most room first, counting
+// what could be stopped only if none has any.
 func (p *Planner) toAsk(s *step, queue *catalog.Queue) []*endpoint {
 	size := s.Committed()
-	var list []*endpoint
-	room := map[*endpoint]int{}
-	most := 1
-	for _, e := range p.sortedEndpoints() {
-		if s.advice.asked[e.ID] || !p.suits(s, e) || !sizeFits(size, e.Capacity) {
-			continue
-		}
-		room[e] = slots(size, p.claimable(e, queue.Priority))
-		most = max(most, slots(size, e.Capacity))
-		list = append(list, e)
+	list, most := p.roomiest(s, size, func(e *endpoint) model.Resources { return e.planned })
+	if len(list) == 0 {
+		return nil
+	}
+	if list[0].slots == 0 {
+		list, most = p.roomiest(s, size, func(e *endpoint) model.Resources { return p.claimable(e, queue.Priority) })
 	}
-	sort.SliceStable(list, func(i, k int) bool { return room[list[i]] > room[list[k]] })
 	share := max(p.goodRatio(s.job.Queue).or(goodAtFirst), 0.05)
 	needed := int(math.Ceil(adviceSpare*float64(len(s.pending))/(float64(most)*share))) + adviceLeast
 	if each := queue.Advice.PerEndpoint; each > 0 {
 		// Up to the time of the question itself, further endpoints cost little.
 		needed = max(needed, int(queue.Advice.Decide/each/2))
 	}
-	return list[:min(needed, adviceMax, len(list))]
+	chosen := make([]*endpoint, 0, needed)
+	for _, o := range list[:min(needed, adviceMax, len(list))] {
+		chosen = append(chosen, o.endpoint)
+	}
+	return chosen
+}
+
+// roomiest returns the endpoints that could run the step and were not asked
+// about, those with most room first, and how many tasks the largest one takes.
+func (p *Planner) roomiest(s *step, size model.Resources, room func(*endpoint) model.Resources) (list []offer, most int) {
+	most = 1
+	for _, e := range p.sortedEndpoints() {
+		if s.advice.asked[e.ID] || !p.suits(s, e) || !sizeFits(size, e.Capacity) {
+			continue
+		}
+		most = max(most, slots(size, e.Capacity))
+		list = append(list, offer{endpoint: e, slots: slots(size, room(e))})
+	}
+	sort.SliceStable(list, func(i, k int) bool { return list[i].slots > list[k].slots })
+	return list, most
 }
 
 // widen asks about further endpoints when the good ones have had no room for a
@@ -353,7 +368,7 @@
 	return chosen
 }
 
-// offer is an endpoint with room for members of a gang.
+// offer is an endpoint with room for some tasks of a step.
 type offer struct {
 	endpoint *endpoint
 	slots    int
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -90,11 +90,13 @@
 	parked      map[*step]bool
 	parkedOrder []*step
 	parkedAt    time.Time
-	scheduled   map[*job]bool
-	reserved    map[*run]bool
-	plan        Plan
-	dirty       bool
-	listings    uint64
+	// watchedAt is when the progress of runs was last looked at.
+	watchedAt time.Time
+	scheduled map[*job]bool
+	reserved  map[*run]bool
+	plan      Plan
+	dirty     bool
+	listings  uint64
 	// sorted are the endpoints in the order of their names; nil when they have
 	// changed.
 	sorted []*endpoint
--- a/process/http.go
+++ b/process/http.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -47,13 +48,15 @@
 }
 
 // adminServer returns the server of the process's own pages: /readyz for the
-// balancer, /healthz, /debug/vars for metrics and PUT /debug/level?level= for
+// balancer, /healthz, /debug/vars for metrics, /debug/pprof/profile?seconds= for
+// a profile of the processor and PUT /debug/level?level= for
 // the log level.
 func (p *Process) adminServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", p.readyz)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("PUT /debug/level", p.setLevel)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
