--- /dev/null
+++ b/election/election_test.go
@@ -0,0 +1,144 @@
+package election_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/election"
+	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/platform/platformtest"
+)
+
+// patience is reached only by a failure.
+const patience = 20 * time.Second
+
+// candidate is one instance of these tests.
+type candidate struct {
+	*election.Election
+	mu     sync.Mutex
+	epoch  uint64
+	holds  bool
+	elects int
+	until  time.Time
+	cancel context.CancelFunc
+}
+
+func (c *candidate) Elected(e election.Elected) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.epoch, c.holds, c.until = e.Epoch, true, e.Until
+	c.elects++
+}
+
+func (c *candidate) Renewed(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = until
+}
+
+func (c *candidate) Deposed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holds = false
+}
+
+func (c *candidate) state() (holds bool, epoch uint64, elects int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holds, c.epoch, c.elects
+}
+
+// join starts a candidate at the table. Its end is like that of a killed
+// process: nothing is released.
+func join(stand *platformtest.Table, name, incarnation string) *candidate {
+	c := &candidate{}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.Election = election.New(ctx, election.Options{
+		Node: name, Incarnation: incarnation, CPUShare: 1, Table: platform.NewTable(stand.Address, true),
+		Clock: clock.Boot{}, Log: logging.Discard(), Listener: c,
+	})
+	group := duty.NewGroup(context.Background())
+	group.Start(c.Election)
+	DeferCleanup(func() {
+		cancel()
+		c.Stop()
+		Expect(group.Wait()).To(Succeed())
+	})
+	return c
+}
+
+func holders(all ...*candidate) int {
+	n := 0
+	for _, c := range all {
+		if holds, _, _ := c.state(); holds {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("An election", func() {
+	var stand *platformtest.Table
+	BeforeEach(func() {
+		var stop func()
+		stand, stop = platformtest.NewTable()
+		DeferCleanup(stop)
+	})
+
+	It("gives the cell to one of several that start together", func() {
+		a, b, c := join(stand, "a", "1"), join(stand, "b", "1"), join(stand, "c", "1")
+		Eventually(func() int { return holders(a, b, c) }, patience).Should(Equal(1))
+		Consistently(func() int { return holders(a, b, c) }, time.Second).Should(Equal(1))
+	})
+
+	It("gives the cell under a higher epoch to another when the holder dies", func() {
+		a := join(stand, "a", "1")
+		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
+		b := join(stand, "b", "1")
+		Consistently(func() int { return holders(b) }, election.VacantTime).Should(BeZero())
+		a.cancel()
+		Eventually(func() int { return holders(b) }, patience).Should(Equal(1))
+		_, first, _ := a.state()
+		_, second, _ := b.state()
+		Expect(second).To(BeNumerically(">", first))
+	})
+
+	It("gives the cell at once to an instance that has started anew", func() {
+		a := join(stand, "a", "1")
+		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
+		a.cancel()
+		began := time.Now()
+		again := join(stand, "a", "2")
+		Eventually(func() int { return holders(again) }, patience, 10*time.Millisecond).Should(Equal(1))
+		Expect(time.Since(began)).To(BeNumerically("<", election.VacantTime))
+	})
+
+	It("hands the cell over when the holder resigns", func() {
+		a := join(stand, "a", "1")
+		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
+		b := join(stand, "b", "1")
+		Consistently(func() int { return holders(b) }, 300*time.Millisecond).Should(BeZero())
+		a.Resign(context.Background())
+		Expect(holders(a)).To(BeZero())
+		Eventually(func() int { return holders(b) }, patience).Should(Equal(1))
+	})
+
+	It("keeps the holder while answers to its renewals are lost", func() {
+		a := join(stand, "a", "1")
+		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
+		b := join(stand, "b", "1")
+		stand.SetMood(platformtest.Losing)
+		time.Sleep(700 * time.Millisecond)
+		stand.SetMood(platformtest.Serving)
+		Consistently(func() int { return holders(a) }, 2*time.Second).Should(Equal(1))
+		Expect(holders(b)).To(BeZero())
+	})
+})
--- /dev/null
+++ b/election/holding.go
@@ -0,0 +1,155 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/storage"
+)
+
+// claim tries to take the next epoch.
+func (e *Election) claim() time.Duration {
+	ctx, cancel := context.WithTimeout(e.ctx, 2*callTimeout)
+	defer cancel()
+	previous, version, err := e.readEpoch(ctx)
+	if err != nil {
+		e.fire(evLost)
+		return retryPause
+	}
+	sent := e.Clock.Now()
+	next := Epoch{Epoch: previous.Epoch + 1, Node: e.Node, Incarnation: e.Incarnation}
+	lease := Lease{Node: e.Node, Incarnation: e.Incarnation, Epoch: next.Epoch}
+	err = e.Table.Commit(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}, {Key: EpochKey, Version: version}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: encode(lease)}, {Key: EpochKey, Value: encode(next)}},
+	})
+	if err != nil && !eris.Is(err, storage.ErrUnavailable) {
+		e.known = false
+		e.fire(evLost)
+		return retryPause
+	}
+	return e.confirm(ctx, next, lease, sent)
+}
+
+// confirm reads the rows: a commit without an answer may have taken effect.
+func (e *Election) confirm(ctx context.Context, next Epoch, lease Lease, sent time.Time) time.Duration {
+	found, version, err := e.readEpoch(ctx)
+	e.known = false
+	if err == nil && found == next {
+		e.leaseAt, err = e.ownLease(ctx, lease)
+	}
+	if err != nil || found != next {
+		e.fire(evLost)
+		return retryPause
+	}
+	e.epoch, e.epochAt, e.lease, e.sent = next, version, lease, sent
+	e.renewAt = sent.Add(renewPeriod)
+	e.fire(evWon)
+	return e.renewAt.Sub(e.Clock.Now())
+}
+
+func (e *Election) readEpoch(ctx context.Context) (Epoch, storage.RowVersion, error) {
+	var found Epoch
+	row, err := e.Table.Get(ctx, EpochKey)
+	if eris.Is(err, storage.ErrNotFound) {
+		return found, 0, nil
+	}
+	if err != nil {
+		return found, 0, err
+	}
+	return found, row.Version, json.Unmarshal(row.Value, &found)
+}
+
+// ownLease returns the version of the lease row, or storage.ErrConflict if it is
+// another instance's.
+func (e *Election) ownLease(ctx context.Context, own Lease) (storage.RowVersion, error) {
+	row, err := e.Table.Get(ctx, LeaseKey)
+	if err != nil {
+		return 0, err
+	}
+	var found Lease
+	if err := json.Unmarshal(row.Value, &found); err != nil {
+		return 0, eris.Wrap(err, "decoding the lease row")
+	}
+	if found.Epoch != own.Epoch || found.Incarnation != own.Incarnation {
+		return 0, storage.ErrConflict
+	}
+	return row.Version, nil
+}
+
+func (e *Election) tellElected() {
+	e.Listener.Elected(Elected{Epoch: e.epoch.Epoch, Version: e.epochAt, Until: e.sent.Add(LeaseTime)})
+}
+
+// hold renews the lease. A conflict means that another instance holds the cell;
+// without an answer the right to act runs out by itself.
+func (e *Election) hold() time.Duration {
+	now := e.Clock.Now()
+	if wait := e.renewAt.Sub(now); wait > 0 {
+		return wait
+	}
+	err := e.writeLease(e.ctx, false)
+	switch {
+	case err == nil:
+		e.Listener.Renewed(now.Add(LeaseTime))
+		e.renewAt = now.Add(renewPeriod)
+	case eris.Is(err, storage.ErrConflict):
+		e.fire(evLost)
+	default:
+		e.Log.Warn("lease_not_renewed", slog.Uint64("epoch", e.epoch.Epoch), slog.Any("error", err))
+		e.renewAt = e.Clock.Now().Add(retryPause)
+	}
+	return max(e.renewAt.Sub(e.Clock.Now()), 0)
+}
+
+func (e *Election) release() {
+	e.Listener.Deposed()
+	if err := e.writeLease(context.WithoutCancel(e.ctx), true); err != nil {
+		e.Log.Warn("lease_not_released", slog.Uint64("epoch", e.epoch.Epoch), slog.Any("error", err))
+	}
+}
+
+func (e *Election) writeLease(parent context.Context, released bool) error {
+	ctx, cancel := context.WithTimeout(parent, callTimeout)
+	defer cancel()
+	e.lease.Renewals++
+	e.lease.Released = released
+	version, err := e.Table.Write(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
+	})
+	if err == nil {
+		e.leaseAt = version
+		return nil
+	}
+	if !eris.Is(err, storage.ErrConflict) {
+		return err
+	}
+	// An earlier renewal without an answer took effect, the known version is
+	// not the row's, or another instance holds the cell.
+	e.leaseAt, err = e.ownLease(ctx, e.lease)
+	if err != nil {
+		return err
+	}
+	version, err = e.Table.Write(ctx, storage.Txn{
+		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
+	})
+	if err == nil {
+		e.leaseAt = version
+	}
+	return err
+}
+
+// encode returns a row of plain fields, which always encode.
+func encode(row any) []byte {
+	raw, err := json.Marshal(row)
+	if err != nil {
+		panic("election: " + err.Error())
+	}
+	return raw
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -119,6 +119,7 @@
 	consults *consults
 	recorder *recorder
 	cleaner  *cleaner
+	pruner   *Pruner
 	feeds    []*feed.Feed
 	retries  []retry
 	// decided is when the last plan was made, deciding how long that took.
--- /dev/null
+++ b/holder/prune_test.go
@@ -0,0 +1,51 @@
+package holder_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/holder"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/platform"
+	"github.com/hornbeamworks/hornbeam/platform/platformtest"
+	"github.com/hornbeamworks/hornbeam/storage"
+)
+
+var _ = Describe("The pruner", func() {
+	It("deletes what is kept of jobs that ended long ago, and nothing else", func() {
+		stand, stop := platformtest.NewTable()
+		DeferCleanup(stop)
+		table := platform.NewTable(stand.Address, true)
+		ctx, parts := context.Background(), holder.Parts(4)
+		now := clock.NewManual(time.Unix(100_000, 0))
+		write := func(id jobs.ID, status jobs.Status) {
+			Expect(table.Commit(ctx, storage.Txn{Writes: []storage.Write{
+				{Key: holder.OutcomeKey(id), Value: holder.Encode(status)},
+				{Key: parts.Key(holder.AcceptedTable, id), Value: holder.Encode(status)},
+			}})).To(Succeed())
+		}
+		write("old", jobs.Status{State: jobs.Completed, Ended: now.Now().Add(-time.Hour).UnixMilli()})
+		write("new", jobs.Status{State: jobs.Failed, Ended: now.Now().Add(-time.Minute).UnixMilli()})
+		write("live", jobs.Status{State: jobs.Running})
+		p := holder.NewPruner(ctx, table, parts, now, logging.Discard())
+		Expect(p.Step()).To(Succeed())
+		Expect(p.Step()).To(Succeed())
+		known := func(key string) bool {
+			_, err := table.Get(ctx, key)
+			Expect(err == nil || eris.Is(err, storage.ErrNotFound)).To(BeTrue())
+			return err == nil
+		}
+		Expect(known(holder.OutcomeKey("old"))).To(BeFalse())
+		Expect(known(parts.Key(holder.AcceptedTable, "old"))).To(BeFalse())
+		for _, id := range []jobs.ID{"new", "live"} {
+			Expect(known(holder.OutcomeKey(id))).To(BeTrue())
+			Expect(known(parts.Key(holder.AcceptedTable, id))).To(BeTrue())
+		}
+	})
+})
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -112,6 +112,7 @@
 	if c.recorder != nil {
 		c.recorder.writer.Stop()
 		c.cleaner.Stop()
+		c.pruner.Stop()
 	}
 }
 
@@ -121,6 +122,8 @@
 	c.restored = nil
 	c.recorder = newRecorder(h, r.record)
 	c.cleaner = newCleaner(h)
+	c.pruner = NewPruner(c.ctx, h.Table, h.Parts, h.Wall, h.Log)
+	h.Start(c.pruner)
 	if h.catalog != nil {
 		c.planner.SetCatalog(h.catalog)
 	}
--- /dev/null
+++ b/planner/gang.go
@@ -0,0 +1,104 @@
+package planner
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+// placeGang places all tasks of a gang or none.
+func (p *Planner) placeGang(s *step, candidates []*endpoint) bool {
+	if len(s.pending) < s.Count {
+		// Members of the last run are not gone yet.
+		return true
+	}
+	if !p.mayRun(s.job.Team, s.Committed().Scale(int64(s.Count))) {
+		return true
+	}
+	seats := p.seats(s, candidates, func(e *endpoint) model.Resources { return e.planned })
+	if seats == nil && p.mayStopOthers(s) {
+		seats = p.seatsByStopping(s, candidates)
+	}
+	if seats == nil {
+		return false
+	}
+	s.gangRuns++
+	number := int(p.epoch-1)*runsPerEpoch + s.gangRuns
+	for i, t := range slices.Clone(s.pending) {
+		p.newRun(t, seats[i], number)
+	}
+	return true
+}
+
+// seats returns an endpoint for each task of the gang, or nil. A gang that
+// wants one rack gets it if a rack has room.
+func (p *Planner) seats(s *step, candidates []*endpoint, room func(*endpoint) model.Resources) []*endpoint {
+	if s.SameRack {
+		for _, rack := range racksOf(candidates) {
+			if found := p.fill(s, onRack(candidates, rack), room); found != nil {
+				return found
+			}
+		}
+	}
+	return p.fill(s, candidates, room)
+}
+
+func (p *Planner) fill(s *step, candidates []*endpoint, room func(*endpoint) model.Resources) []*endpoint {
+	offers, total := p.offers(s, candidates, room)
+	if total < s.Count {
+		return nil
+	}
+	sort.SliceStable(offers, func(i, k int) bool { return offers[i].score < offers[k].score })
+	var chosen []*endpoint
+	for _, o := range offers {
+		for n := o.slots; n > 0 && len(chosen) < s.Count; n-- {
+			chosen = append(chosen, o.endpoint)
+		}
+	}
+	return chosen
+}
+
+// offer is an endpoint with room for some tasks of a step.
+type offer struct {
+	endpoint *endpoint
+	slots    int
+	score    float64
+}
+
+// offers returns the endpoints with room for the gang's members and how many
+// there is room for.
+func (p *Planner) offers(s *step, candidates []*endpoint, room func(*endpoint) model.Resources) (list []offer, total int) {
+	size := s.Committed()
+	for _, e := range candidates {
+		n := min(slots(size, room(e)), s.Count)
+		if s.MaxPerEndpoint > 0 {
+			n = min(n, s.MaxPerEndpoint)
+		}
+		if n > 0 {
+			list = append(list, offer{endpoint: e, slots: n, score: p.score(s, s.tasks[0], e)})
+			total += n
+		}
+	}
+	return list, total
+}
+
+func racksOf(candidates []*endpoint) []model.RackName {
+	var racks []model.RackName
+	for _, e := range candidates {
+		if !slices.Contains(racks, e.Rack) {
+			racks = append(racks, e.Rack)
+		}
+	}
+	return racks
+}
+
+func onRack(candidates []*endpoint, rack model.RackName) []*endpoint {
+	var list []*endpoint
+	for _, e := range candidates {
+		if e.Rack == rack {
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -38,17 +38,6 @@
 	Reason string
 }
 
-// Question asks which endpoints may run a step.
-type Question struct {
-	Step      jobs.StepID
-	Endpoints []model.EndpointID
-	// Cost is the time that the advice service takes.
-	Cost time.Duration
-	// Priority and Due order the questions.
-	Priority int
-	Due      time.Time
-}
-
 // Outcome is the final state of a job.
 type Outcome struct {
 	Job    jobs.ID
@@ -213,96 +202,9 @@
 	p.dirty = false
 }
 
-// placeAll places the waiting steps in their order. Once several of a priority
-// have found no room, the others of it wait for the next time.
-func (p *Planner) placeAll() {
-	failures := map[int]int{}
-	for _, s := range p.inOrder() {
-		if failures[s.rank.priority] >= failuresTried {
-			continue
-		}
-		if !p.place(s) {
-			failures[s.rank.priority]++
-		}
-	}
-}
-
-// openSteps returns all open steps.
-func (p *Planner) openSteps() []*step {
-	list := make([]*step, 0, len(p.open)+len(p.parked))
-	for s := range p.open {
-		list = append(list, s)
-	}
-	for s := range p.parked {
-		list = append(list, s)
-	}
-	return list
-}
-
-// closeStep forgets that the step is open.
-func (p *Planner) closeStep(s *step) {
-	delete(p.open, s)
-	delete(p.parked, s)
-}
-
 // Dirty reports whether something happened since the last Decide.
 func (p *Planner) Dirty() bool { return p.dirty }
 
-// inOrder returns the open steps that have pending tasks, the first served
-// first.
-func (p *Planner) inOrder() []*step {
-	var list []*step
-	for s := range p.open {
-		if len(s.pending) == 0 || s.job.closing() {
-			continue
-		}
-		p.rank(s)
-		if s.rank.urgency != inTime {
-			delete(p.open, s)
-			p.parked[s] = true
-			continue
-		}
-		list = append(list, s)
-	}
-	sortSteps(list)
-	return append(list, p.firstParked()...)
-}
-
-func sortSteps(list []*step) {
-	sort.Slice(list, func(i, k int) bool { return list[i].rank.before(list[k].rank) })
-}
-
-// firstParked returns the first of the parked steps that have pending tasks.
-// Their order is looked at from time to time only, since there can be many.
-func (p *Planner) firstParked() []*step {
-	if p.now.Sub(p.parkedAt) >= parkedPeriod {
-		p.parkedAt = p.now
-		p.parkedOrder = p.parkedOrder[:0]
-		for s := range p.parked {
-			p.rank(s)
-			p.parkedOrder = append(p.parkedOrder, s)
-		}
-		sortSteps(p.parkedOrder)
-	}
-	var list []*step
-	for _, s := range p.parkedOrder {
-		if len(list) == parkedTried {
-			break
-		}
-		if p.parked[s] && len(s.pending) > 0 && !s.job.closing() {
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
-const (
-	// parkedPeriod is how often the parked steps are put in order.
-	parkedPeriod = 500 * time.Millisecond
-	// parkedTried is how many of them are tried each time.
-	parkedTried = 48
-)
-
 // queueOf returns the configuration of the job's queue; nil when it has none.
 func (p *Planner) queueOf(j *job) *catalog.Queue {
 	if p.catalog == nil {
@@ -311,45 +213,6 @@
 	return p.catalog.Queues[j.Queue]
 }
 
-// SetAdvisers tells how many instances can ask for advice.
-func (p *Planner) SetAdvisers(n int) { p.advisers = n }
-
-// mayAsk reports whether a question of the cost can be asked before long: what
-// waits is ranked here, where the order can still change.
-func (p *Planner) mayAsk(cost time.Duration) bool {
-	if cost <= ShortQuestion {
-		return p.short < shortPerAdviser*p.advisers
-	}
-	return p.long < max(p.advisers-1, 1)
-}
-
-// countQuestion counts a question of the cost as asked or, with -1, answered.
-func (p *Planner) countQuestion(cost time.Duration, n int) {
-	if cost <= ShortQuestion {
-		p.short += n
-	} else {
-		p.long += n
-	}
-}
-
-// ask adds a question about the step.
-func (p *Planner) ask(s *step, q *catalog.Queue, endpoints []*endpoint) {
-	if len(endpoints) == 0 || !p.mayAsk(q.Advice.Cost(len(endpoints))) {
-		return
-	}
-	p.countQuestion(q.Advice.Cost(len(endpoints)), 1)
-	ids := make([]model.EndpointID, 0, len(endpoints))
-	for _, e := range endpoints {
-		ids = append(ids, e.ID)
-		s.advice.asked[e.ID] = true
-	}
-	s.advice.outstanding = true
-	s.advice.askedAt = p.now
-	p.plan.Questions = append(p.plan.Questions, Question{
-		Step: s.id, Endpoints: ids, Cost: q.Advice.Cost(len(ids)), Priority: q.Priority, Due: s.rank.due,
-	})
-}
-
 // Started says that the endpoint has confirmed the start.
 func (p *Planner) Started(id jobs.RunID) { p.fire(id, evConfirm) }
 
--- /dev/null
+++ b/planner/questions.go
@@ -0,0 +1,183 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+)
+
+const (
+	// adviceRetry is the pause after a question that got no answer.
+	adviceRetry = 100 * time.Millisecond
+	// adviceMax is the most endpoints that one question may name.
+	adviceMax = 100
+	// adviceSpare is how many times the room needed a question covers, since
+	// good endpoints may be full.
+	adviceSpare = 2.5
+	// adviceLeast is the least number of endpoints that a question names.
+	adviceLeast = 8
+	// adviceWiden is how long a step waits for room on its good endpoints
+	// before others are asked about.
+	adviceWiden = 600 * time.Millisecond
+	// goodAtFirst is the share of good endpoints taken before any answer.
+	goodAtFirst = 0.4
+	// ShortQuestion is the cost up to which a question is a short one: two
+	// instances are kept for these.
+	ShortQuestion = 150 * time.Millisecond
+	// shortPerAdviser is the number of short questions under way for each
+	// instance: one is asked while others are on their way.
+	shortPerAdviser = 2
+)
+
+// Question asks which endpoints may run a step.
+type Question struct {
+	Step      jobs.StepID
+	Endpoints []model.EndpointID
+	// Cost is the time that the advice service takes.
+	Cost time.Duration
+	// Priority and Due order the questions.
+	Priority int
+	Due      time.Time
+}
+
+// SetAdvisers tells how many instances can ask for advice.
+func (p *Planner) SetAdvisers(n int) { p.advisers = n }
+
+// mayAsk reports whether a question of the cost can be asked before long: what
+// waits is ranked here, where the order can still change.
+func (p *Planner) mayAsk(cost time.Duration) bool {
+	if cost <= ShortQuestion {
+		return p.short < shortPerAdviser*p.advisers
+	}
+	return p.long < max(p.advisers-1, 1)
+}
+
+// countQuestion counts a question of the cost as asked or, with -1, answered.
+func (p *Planner) countQuestion(cost time.Duration, n int) {
+	if cost <= ShortQuestion {
+		p.short += n
+	} else {
+		p.long += n
+	}
+}
+
+// ask adds a question about the step.
+func (p *Planner) ask(s *step, q *catalog.Queue, endpoints []*endpoint) {
+	if len(endpoints) == 0 || !p.mayAsk(q.Advice.Cost(len(endpoints))) {
+		return
+	}
+	p.countQuestion(q.Advice.Cost(len(endpoints)), 1)
+	ids := make([]model.EndpointID, 0, len(endpoints))
+	for _, e := range endpoints {
+		ids = append(ids, e.ID)
+		s.advice.asked[e.ID] = true
+	}
+	s.advice.outstanding = true
+	s.advice.askedAt = p.now
+	p.plan.Questions = append(p.plan.Questions, Question{
+		Step: s.id, Endpoints: ids, Cost: q.Advice.Cost(len(ids)), Priority: q.Priority, Due: s.rank.due,
+	})
+}
+
+// toAsk chooses the endpoints to ask about: those with most room first, counting
+// what could be stopped only if none has any.
+func (p *Planner) toAsk(s *step, queue *catalog.Queue) []*endpoint {
+	size := s.Committed()
+	list, most := p.roomiest(s, size, func(e *endpoint) model.Resources { return e.planned })
+	if len(list) == 0 {
+		return nil
+	}
+	if list[0].slots == 0 {
+		list, most = p.roomiest(s, size, func(e *endpoint) model.Resources { return p.claimable(e, queue.Priority) })
+	}
+	share := max(p.goodRatio(s.job.Queue).or(goodAtFirst), 0.05)
+	needed := int(math.Ceil(adviceSpare*float64(len(s.pending))/(float64(most)*share))) + adviceLeast
+	if each := queue.Advice.PerEndpoint; each > 0 {
+		// Up to the time of the question itself, further endpoints cost little.
+		needed = max(needed, int(queue.Advice.Decide/each/2))
+	}
+	chosen := make([]*endpoint, 0, needed)
+	for _, o := range list[:min(needed, adviceMax, len(list))] {
+		chosen = append(chosen, o.endpoint)
+	}
+	return chosen
+}
+
+// roomiest returns the endpoints that could run the step and were not asked
+// about, those with most room first, and how many tasks the largest one takes.
+func (p *Planner) roomiest(s *step, size model.Resources, room func(*endpoint) model.Resources) (list []offer, most int) {
+	most = 1
+	for _, e := range p.sortedEndpoints() {
+		if s.advice.asked[e.ID] || !p.suits(s, e) || !sizeFits(size, e.Capacity) {
+			continue
+		}
+		most = max(most, slots(size, e.Capacity))
+		list = append(list, offer{endpoint: e, slots: slots(size, room(e))})
+	}
+	sort.SliceStable(list, func(i, k int) bool { return list[i].slots > list[k].slots })
+	return list, most
+}
+
+// widen asks about further endpoints when the good ones have had no room for a
+// while.
+func (p *Planner) widen(s *step, queue *catalog.Queue) {
+	if queue.Advice == nil || s.advice.outstanding || p.now.Sub(s.advice.askedAt) < adviceWiden {
+		return
+	}
+	p.ask(s, queue, p.toAsk(s, queue))
+}
+
+func (p *Planner) goodRatio(queue jobs.QueueName) *ratio {
+	r := p.good[queue]
+	if r == nil {
+		r = &ratio{}
+		p.good[queue] = r
+	}
+	return r
+}
+
+func (r *ratio) or(fallback float64) float64 {
+	if r.count == 0 {
+		return fallback
+	}
+	return r.value
+}
+
+// partByTicket parts the endpoints into those that the step may use now and
+// those whose tickets have run out. Room is not reserved on the latter: it would
+// be idle until the answer comes.
+func (p *Planner) partByTicket(s *step, candidates []*endpoint) (permitted, lapsed []*endpoint) {
+	queue := p.queueOf(s.job)
+	for _, e := range candidates {
+		if _, valid := s.ticket(e); valid || queue.Advice == nil {
+			permitted = append(permitted, e)
+		} else {
+			lapsed = append(lapsed, e)
+		}
+	}
+	return permitted, lapsed
+}
+
+// renew asks again about endpoints whose tickets have run out: about as many as
+// add less than the question's own time, those with most room first.
+func (p *Planner) renew(s *step, lapsed []*endpoint) {
+	queue := p.queueOf(s.job)
+	if s.advice.outstanding {
+		return
+	}
+	size := s.Committed()
+	list := slices.Clone(lapsed)
+	sort.SliceStable(list, func(i, k int) bool {
+		return slots(size, list[i].planned) > slots(size, list[k].planned)
+	})
+	most := adviceMax
+	if each := queue.Advice.PerEndpoint; each > 0 {
+		most = min(most, max(int(queue.Advice.Decide/each), 1))
+	}
+	p.ask(s, queue, list[:min(most, len(list))])
+}
