--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -26,7 +26,7 @@
 	// that arrive together are read together.
 	jobsPause = 4 * time.Millisecond
 	// registryPause is the same for the endpoints' entries.
-	registryPause = 100 * time.Millisecond
+	registryPause = 300 * time.Millisecond
 )
 
 // restored is what a successor has read.
