Never say that a job was not accepted when a write of it may have been

Change: errors are wrapped with other words; doubt of a group is kept.

Conclusion: mended; the waits stay as they were.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -58,11 +58,11 @@
 	err := l.commit(storage.Txn{
 		Checks: []storage.Check{{Key: key, Version: version}},
 		Writes: []storage.Write{{Key: key, Value: holder.Encode(job)}},
-	})
+	}, false)
 	switch {
 	case err == nil:
 		return Answer{Code: result.OK, State: jobs.Cancelled}
-	case eris.Is(err, storage.ErrConflict):
+	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errSettledConflict):
 		// The row was cancelled by an earlier try or another caller, or the
 		// job has ended.
 		return l.cancelEnded(job)
--- a/front/lane.go
+++ b/front/lane.go
@@ -148,10 +148,12 @@
 	for _, s := range batch {
 		accepted = append(accepted, s.job)
 	}
-	err := l.write(accepted)
-	if len(batch) > 1 && eris.Is(err, storage.ErrConflict) {
+	err := l.write(accepted, false)
+	if len(batch) > 1 && (eris.Is(err, storage.ErrConflict) || eris.Is(err, errSettledConflict)) {
+		// A try without an answer may have accepted all of them.
+		doubtful := eris.Is(err, errSettledConflict)
 		for _, s := range batch {
-			s.reply <- l.answer(s.job, l.write([]*jobs.Job{s.job}))
+			s.reply <- l.answer(s.job, l.write([]*jobs.Job{s.job}, doubtful))
 		}
 		return
 	}
@@ -160,8 +162,9 @@
 	}
 }
 
-// write creates the rows of the jobs on condition that none is there.
-func (l *lane) write(list []*jobs.Job) error {
+// write creates the rows of the jobs on condition that none is there. doubtful
+// says that an earlier write of them may have taken effect.
+func (l *lane) write(list []*jobs.Job, doubtful bool) error {
 	var txn storage.Txn
 	for _, job := range list {
 		accepted := l.f.Parts.Key(holder.AcceptedTable, job.ID)
@@ -170,14 +173,17 @@
 			storage.Write{Key: l.f.Parts.Key(holder.JobsTable, job.ID), Value: holder.Encode(job)},
 			storage.Write{Key: accepted, Value: holder.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
 	}
-	return l.commit(txn)
+	return l.commit(txn, doubtful)
 }
 
+// errSettledConflict is a conflict after a try without an answer, which may be
+// what the write conflicts with.
+var errSettledConflict = eris.New("conflict after a try without an answer")
+
 // commit tries the write until it has an answer. ErrUnavailable means that
-// there is none and the write may take effect later.
-func (l *lane) commit(txn storage.Txn) error {
+// there is none and the write, or an earlier one in doubt, may take effect.
+func (l *lane) commit(txn storage.Txn, doubtful bool) error {
 	var err error
-	doubtful := false
 	for range writeTries {
 		ctx, cancel := context.WithTimeout(l.f.ctx, writeTimeout)
 		err = l.f.Table.Commit(ctx, txn)
@@ -188,12 +194,17 @@
 		doubtful = true
 	}
 	switch {
-	case err == nil || eris.Is(err, storage.ErrConflict):
+	case err == nil:
+		l.fire(evAnswered)
+	case eris.Is(err, storage.ErrConflict):
 		l.fire(evAnswered)
+		if doubtful {
+			return errSettledConflict
+		}
 	case eris.Is(err, storage.ErrRefused):
 		l.fire(evUnanswered)
 		if doubtful {
-			return eris.Wrap(storage.ErrUnavailable, err.Error())
+			return eris.Wrapf(storage.ErrUnavailable, "an earlier try got no answer; then: %v", err)
 		}
 	default:
 		l.fire(evUnanswered)
@@ -208,7 +219,7 @@
 	switch {
 	case err == nil:
 		return Answer{Code: result.OK, State: jobs.Queued}
-	case eris.Is(err, storage.ErrConflict):
+	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errSettledConflict):
 		return l.repeated(job)
 	case eris.Is(err, storage.ErrRefused):
 		return *l.f.refuse(result.StoreUnavailable, err.Error())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,18 +91,18 @@
 // other instances.
 func (t *Table) do(ctx context.Context, r Request) (Reply, error) {
 	doubtful := false
-	last := storage.ErrRefused
+	var direct error
 	if t.tryDirect() {
 		reply, err := call(ctx, t.direct, r)
 		t.noteDirect(err)
 		if !lost(err) {
 			return reply, err
 		}
-		doubtful, last = eris.Is(err, storage.ErrUnavailable), err
+		doubtful, direct = eris.Is(err, storage.ErrUnavailable), err
 	}
 	reply, err := t.through(ctx, r, doubtful)
-	if err != nil && lost(err) {
-		return reply, eris.Wrap(err, last.Error())
+	if direct != nil && lost(err) {
+		return reply, eris.Wrapf(err, "directly: %v; through others", direct)
 	}
 	return reply, err
 }
