--- a/scripts/check-shape.sh
+++ b/scripts/check-shape.sh
@@ -22,7 +22,7 @@
 fi
 
 forbidden='^(net|net/.*|encoding/.*|math/rand.*|crypto/rand|os|github.com/sirupsen/.*|github.com/hornbeamworks/hornbeam/clock)$'
-for package in $(go list ./policy/...); do
+for package in $(go list ./policy/... ./planner); do
   found=$(go list -f '{{join .Imports "\n"}}' "$package" | grep -E "$forbidden" || true)
   if [ -n "$found" ]; then
     echo "$package imports what decisions must not: $found"
@@ -30,4 +30,12 @@
   fi
 done
 
+# Only the program that puts a node together, and tests, know the platform.
+users=$(grep -rln 'hornbeam/platform"' --include='*.go' . | grep -vE '_test\.go$|^\./cmd/hornbeam-node/' || true)
+if [ -n "$users" ]; then
+  echo "the platform's names outside platform/:"
+  echo "$users"
+  bad=1
+fi
+
 exit "$bad"
