End the duties of a cell with it; remove what nothing uses

Cause: the holder registered each duty with the process, from its own thread and for as long as the process lives: with each epoch some hundred more.

Change: a duty of the cell stops with the cell's context. Throttle orders, which nothing sends yet, and the endpoint's pace are removed.

--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -105,7 +105,7 @@
 	}, holder.Outside{
 		Table: n.relayed, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: n.asker,
 		Instances: n.directory.Others,
-		Clock:     clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Start,
+		Clock:     clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Group().Start,
 	})
 	n.election = election.New(n.ctx, election.Options{
 		Node: s.Node.Name, Incarnation: n.incarnation, CPUShare: s.Runtime.CPUShare,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -82,15 +82,6 @@
 	Epoch uint64
 }
 
-// Throttle sets the share at which a run works.
-type Throttle struct {
-	Target
-	Run jobs.RunID
-	// Percent is the share, from 0 to 100.
-	Percent int
-	Epoch   uint64
-}
-
 // Renewal extends the lease of everything on an endpoint and asks what runs
 // and what has ended.
 type Renewal struct {
@@ -180,6 +171,5 @@
 type Commander interface {
 	Start(ctx context.Context, order Start) error
 	Stop(ctx context.Context, order Stop) error
-	Throttle(ctx context.Context, order Throttle) error
 	Renew(ctx context.Context, order Renewal) (Listing, error)
 }
--- a/holder/cleaner.go
+++ b/holder/cleaner.go
@@ -45,12 +45,12 @@
 func newCleaner(h *Holder) *cleaner {
 	c := &cleaner{h: h, ctx: h.cell.ctx, epoch: h.cell.epoch}
 	c.Duty = duty.New("cleaner", cleanRing, duty.HandlerFunc[[]jobs.ID](c.handle))
-	h.Start(c)
+	h.cell.start(h, c)
 	return c
 }
 
 // add hands over jobs whose outcome is on record.
-func (c *cleaner) add(_ *Holder, ended []jobs.ID) {
+func (c *cleaner) add(ended []jobs.ID) {
 	c.left = append(c.left, ended...)
 	if len(c.left) > 0 && c.Offer(c.left) {
 		c.left = nil
--- a/holder/consult.go
+++ b/holder/consult.go
@@ -53,12 +53,6 @@
 
 func (c *consults) waiting() int { return len(c.questions) }
 
-func (c *consults) stop() {
-	for _, a := range c.advisers {
-		a.Stop()
-	}
-}
-
 // dispatch gives the waiting questions to idle instances, the most urgent first.
 // While there are several instances, this one is kept for short questions.
 func (c *consults) dispatch(h *Holder) {
@@ -152,7 +146,7 @@
 		return duty.Never
 	}))
 	c.advisers[address] = a
-	h.Start(a)
+	current.start(h, a)
 }
 
 // consult asks one question on the adviser's thread.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/election"
-	"github.com/hornbeamworks/hornbeam/feed"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/logging"
@@ -70,7 +69,7 @@
 	// Clock is steady, Wall tells the date.
 	Clock, Wall clock.Clock
 	Log         *logging.Logger
-	// Start runs a duty until the process stops.
+	// Start runs duties; the holder stops them.
 	Start func(...duty.Runner)
 }
 
@@ -119,8 +118,6 @@
 	consults *consults
 	recorder *recorder
 	cleaner  *cleaner
-	pruner   *Pruner
-	feeds    []*feed.Feed
 	retries  []retry
 	// decided is when the last plan was made, deciding how long that took.
 	decided  time.Time
--- a/holder/links.go
+++ b/holder/links.go
@@ -92,7 +92,7 @@
 	}))
 	c.links[id] = l
 	c.inOrder = nil
-	h.Start(l.listener)
+	c.start(h, l.listener)
 	return l
 }
 
--- a/holder/orders.go
+++ b/holder/orders.go
@@ -63,7 +63,7 @@
 func (h *Holder) addCourier() *courier {
 	lane := newCourier(h, h.cell, len(h.cell.couriers))
 	h.cell.couriers = append(h.cell.couriers, lane)
-	h.Start(lane)
+	h.cell.start(h, lane)
 	return lane
 }
 
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -79,7 +79,7 @@
 func newRecorder(h *Holder, version storage.RowVersion) *recorder {
 	w := &writer{h: h, ctx: h.cell.ctx, epoch: h.elected, version: version}
 	w.Duty = duty.New("recorder", 1, duty.HandlerFunc[[]storage.Write](w.handle))
-	h.Start(w)
+	h.cell.start(h, w)
 	return &recorder{
 		writer:  w,
 		changed: map[jobs.ID]bool{},
@@ -281,7 +281,7 @@
 			h.orderStart(s)
 		}
 		c.recorder.recording = nil
-		c.cleaner.add(h, c.recorder.cleaning)
+		c.cleaner.add(c.recorder.cleaning)
 		c.recorder.cleaning = nil
 	}
 }
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -91,29 +91,19 @@
 	c.planner.Clock(h.now, h.Wall.Now().UnixMilli())
 	reader := &restorer{table: h.Table, parts: h.Parts, epoch: c.epoch, ctx: ctx, h: h}
 	reader.Duty = duty.New("restorer", 1, duty.HandlerFunc[struct{}](reader.handle))
-	h.Start(reader)
+	c.start(h, reader)
 }
 
 // forgetCell ends all that belongs to the epoch.
 func (h *Holder) forgetCell() {
-	c := h.cell
+	h.cell.cancel()
 	h.cell = nil
-	c.cancel()
-	for _, f := range c.feeds {
-		f.Stop()
-	}
-	for _, l := range c.links {
-		l.listener.Stop()
-	}
-	for _, lane := range c.couriers {
-		lane.Stop()
-	}
-	c.consults.stop()
-	if c.recorder != nil {
-		c.recorder.writer.Stop()
-		c.cleaner.Stop()
-		c.pruner.Stop()
-	}
+}
+
+// start runs a duty that ends with the cell, or with the process.
+func (c *cell) start(h *Holder, d duty.Runner) {
+	context.AfterFunc(c.ctx, d.Stop)
+	h.Start(d)
 }
 
 // takeOver hands what was read to the planner and starts the cell's duties.
@@ -122,8 +112,7 @@
 	c.restored = nil
 	c.recorder = newRecorder(h, r.record)
 	c.cleaner = newCleaner(h)
-	c.pruner = NewPruner(c.ctx, h.Table, h.Parts, h.Wall, h.Log)
-	h.Start(c.pruner)
+	c.start(h, NewPruner(c.ctx, h.Table, h.Parts, h.Wall, h.Log))
 	if h.catalog != nil {
 		c.planner.SetCatalog(h.catalog)
 	}
@@ -170,9 +159,7 @@
 	registry.Pause = registryPause
 	registry.Sink = func(u feed.Update) { h.tell(registryMessage{c.epoch, u}) }
 	for _, o := range []feed.Options{jobsFeed, registry} {
-		f := feed.New(c.ctx, o)
-		c.feeds = append(c.feeds, f)
-		h.Start(f)
+		c.start(h, feed.New(c.ctx, o))
 	}
 	c.consults.setInstances(h, h.Instances())
 }
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -41,8 +41,6 @@
 	// in a row; barred is when it may be given work again.
 	failures, quarantines int
 	barred                time.Time
-	// pace is how long tasks take here, as a factor of the estimate.
-	pace ratio
 }
 
 var endpointsChart *chart.Machine[endpoint]
@@ -132,7 +130,6 @@
 
 func (e *endpoint) reborn() {
 	e.failures, e.quarantines, e.barred = 0, 0, time.Time{}
-	e.pace = ratio{}
 	e.endRuns(evReborn)
 }
 
