Make one piece of what stood twice: encoding rows, stopping runs, refusing writes

Cause: read as a whole, the change encoded rows in three places, set a run's reason and stopped it in five, wrote the lease row twice, mapped a failed write to its answer twice and compared a status with its owner in three places.

Change: storage.Encode, run.stop, putLease, lane.unwritten, Status.Belongs; the standard library's maps.Equal for one loop; a wrapper type, a field of rank that nothing compared and a parameter that was always nil are gone.

--- a/election/holding.go
+++ b/election/holding.go
@@ -25,7 +25,7 @@
 	lease := Lease{Node: e.Node, Incarnation: e.Incarnation, Epoch: next.Epoch}
 	err = e.Table.Commit(ctx, storage.Txn{
 		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}, {Key: EpochKey, Version: version}},
-		Writes: []storage.Write{{Key: LeaseKey, Value: encode(lease)}, {Key: EpochKey, Value: encode(next)}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: storage.Encode(lease)}, {Key: EpochKey, Value: storage.Encode(next)}},
 	})
 	if err != nil && !eris.Is(err, storage.ErrUnavailable) {
 		e.known = false
@@ -118,14 +118,7 @@
 	defer cancel()
 	e.lease.Renewals++
 	e.lease.Released = released
-	version, err := e.Table.Write(ctx, storage.Txn{
-		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}},
-		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
-	})
-	if err == nil {
-		e.leaseAt = version
-		return nil
-	}
+	err := e.putLease(ctx)
 	if !eris.Is(err, storage.ErrConflict) {
 		return err
 	}
@@ -135,21 +128,17 @@
 	if err != nil {
 		return err
 	}
-	version, err = e.Table.Write(ctx, storage.Txn{
+	return e.putLease(ctx)
+}
+
+// putLease writes the lease row if it is the one that this instance knows.
+func (e *Election) putLease(ctx context.Context) error {
+	version, err := e.Table.Write(ctx, storage.Txn{
 		Checks: []storage.Check{{Key: LeaseKey, Version: e.leaseAt}},
-		Writes: []storage.Write{{Key: LeaseKey, Value: encode(e.lease)}},
+		Writes: []storage.Write{{Key: LeaseKey, Value: storage.Encode(e.lease)}},
 	})
 	if err == nil {
 		e.leaseAt = version
 	}
 	return err
 }
-
-// encode returns a row of plain fields, which always encode.
-func encode(row any) []byte {
-	raw, err := json.Marshal(row)
-	if err != nil {
-		panic("election: " + err.Error())
-	}
-	return raw
-}
--- a/front/ask.go
+++ b/front/ask.go
@@ -81,7 +81,7 @@
 		}
 		status = found.status
 	}
-	if status.Team != string(v.team) || status.Queue != v.queue.Name {
+	if !status.Belongs(v.team, v.queue.Name) {
 		return *f.refuse(result.UnknownRequest, "there is no such job")
 	}
 	return Answer{Code: result.OK, State: status.State}
--- a/front/cancel.go
+++ b/front/cancel.go
@@ -57,7 +57,7 @@
 func (l *lane) writeCancel(key string, version storage.RowVersion, job *jobs.Job) Answer {
 	err := l.commit(storage.Txn{
 		Checks: []storage.Check{{Key: key, Version: version}},
-		Writes: []storage.Write{{Key: key, Value: holder.Encode(job)}},
+		Writes: []storage.Write{{Key: key, Value: storage.Encode(job)}},
 	}, false)
 	switch {
 	case err == nil:
@@ -66,10 +66,8 @@
 		// The row was cancelled by an earlier try or another caller, or the
 		// job has ended.
 		return l.cancelEnded(job)
-	case eris.Is(err, storage.ErrRefused):
-		return *l.f.refuse(result.StoreUnavailable, err.Error())
 	default:
-		return *l.f.refuse(result.OutcomeUnknown, err.Error())
+		return l.unwritten(err)
 	}
 }
 
@@ -79,7 +77,7 @@
 	if answer != nil {
 		return *answer
 	}
-	if status.Team != string(wanted.Team) || status.Queue != wanted.Queue {
+	if !status.Belongs(wanted.Team, wanted.Queue) {
 		return *l.f.refuse(result.UnknownRequest, "there is no such job")
 	}
 	return Answer{Code: result.OK, State: status.State}
--- a/front/lane.go
+++ b/front/lane.go
@@ -170,8 +170,8 @@
 		accepted := l.f.Parts.Key(holder.AcceptedTable, job.ID)
 		txn.Checks = append(txn.Checks, storage.Check{Key: accepted})
 		txn.Writes = append(txn.Writes,
-			storage.Write{Key: l.f.Parts.Key(holder.JobsTable, job.ID), Value: holder.Encode(job)},
-			storage.Write{Key: accepted, Value: holder.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
+			storage.Write{Key: l.f.Parts.Key(holder.JobsTable, job.ID), Value: storage.Encode(job)},
+			storage.Write{Key: accepted, Value: storage.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
 	}
 	return l.commit(txn, doubtful)
 }
@@ -221,11 +221,18 @@
 		return Answer{Code: result.OK, State: jobs.Queued}
 	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errSettledConflict):
 		return l.repeated(job)
-	case eris.Is(err, storage.ErrRefused):
-		return *l.f.refuse(result.StoreUnavailable, err.Error())
 	default:
-		return *l.f.refuse(result.OutcomeUnknown, err.Error())
+		return l.unwritten(err)
+	}
+}
+
+// unwritten returns the answer for a write that failed: nothing was done, or
+// nobody knows.
+func (l *lane) unwritten(err error) Answer {
+	if eris.Is(err, storage.ErrRefused) {
+		return *l.f.refuse(result.StoreUnavailable, err.Error())
 	}
+	return *l.f.refuse(result.OutcomeUnknown, err.Error())
 }
 
 // repeated answers a submission whose id is known.
@@ -235,7 +242,7 @@
 	case answer != nil:
 		// A row with this id is there; who owns it can't be told now.
 		return *l.f.refuse(result.OutcomeUnknown, "the job's row could not be read")
-	case status.Team != string(job.Team) || status.Queue != job.Queue:
+	case !status.Belongs(job.Team, job.Queue):
 		return *l.f.refuse(result.KeyReused, "the id belongs to another job")
 	default:
 		return Answer{Code: result.OK, State: status.State}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -7,6 +7,7 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/catalog"
@@ -261,25 +262,13 @@
 	}
 	c.queuesAt = h.now
 	waiting := c.planner.Waiting()
-	if sameQueues(waiting, c.queues) {
+	if c.queues != nil && maps.Equal(waiting, c.queues) {
 		return
 	}
 	c.queues = waiting
 	c.recorder.queues = waiting
 }
 
-func sameQueues(a, b map[jobs.QueueName]int) bool {
-	if len(a) != len(b) || b == nil {
-		return false
-	}
-	for name, n := range a {
-		if b[name] != n {
-			return false
-		}
-	}
-	return true
-}
-
 func (h *Holder) logStats() {
 	c := h.cell
 	if h.now.Sub(c.statsAt) < statsPeriod {
--- a/holder/links.go
+++ b/holder/links.go
@@ -41,9 +41,10 @@
 
 // link is the holder's relation to one endpoint.
 type link struct {
-	id       model.EndpointID
-	address  string
-	listener *listener
+	id      model.EndpointID
+	address string
+	// listener asks the endpoint for its listing, on a thread of its own.
+	listener *duty.Duty[fleet.Renewal]
 	busy     bool
 	// clock is the endpoint's time as of clockAt; born its last known start.
 	clock   fleet.EndpointTime
@@ -62,11 +63,6 @@
 	info    fleet.Endpoint
 }
 
-// listener is the duty that asks one endpoint for its listing.
-type listener struct {
-	*duty.Duty[fleet.Renewal]
-}
-
 // leaseFor returns the time of a lease.
 func (h *Holder) leaseFor() time.Duration { return min(leaseTime, h.MaxLease) }
 
@@ -83,8 +79,7 @@
 		c.planner.SetEndpoint(fleet.Endpoint{ID: id, Address: address, Leaving: true})
 	}
 	epoch := c.epoch
-	l.listener = &listener{}
-	l.listener.Duty = duty.New("listener", 2, duty.HandlerFunc[fleet.Renewal](func(batch []fleet.Renewal) time.Duration {
+	l.listener = duty.New("listener", 2, duty.HandlerFunc[fleet.Renewal](func(batch []fleet.Renewal) time.Duration {
 		for _, order := range batch {
 			h.list(c.ctx, epoch, order)
 		}
@@ -236,8 +231,7 @@
 			h.logEnd(l, e)
 		}
 	}
-	// A full page may be followed by another: what it shows as running is then
-	// complete, but ends are missing, so that nothing counts as absent.
+	// Ends beyond a page of the listing come with the next one.
 	for _, run := range c.planner.Listed(l.id, fresh, m.asked) {
 		h.stopStranger(l, run)
 	}
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -31,6 +31,9 @@
 	// forgottenTime is how long a removed job's id is remembered, so that a
 	// late row of the feed does not bring it back.
 	forgottenTime = 30 * time.Second
+	// goneBatch is how many more removed jobs are remembered before those of
+	// long ago are looked for.
+	goneBatch = 1024
 )
 
 // recorder collects what has to be recorded and writes it, one write at a time.
@@ -230,9 +233,10 @@
 	return writes
 }
 
-// pruneGone forgets removed jobs once their number has doubled or more.
+// pruneGone forgets jobs that were removed long ago, each time that their number
+// is a multiple of goneBatch.
 func (r *recorder) pruneGone(now time.Time) {
-	if len(r.gone)%1024 != 0 {
+	if len(r.gone)%goneBatch != 0 {
 		return
 	}
 	for id, at := range r.gone {
--- a/holder/records.go
+++ b/holder/records.go
@@ -1,7 +1,6 @@
 package holder
 
 import (
-	"encoding/json"
 	"hash/fnv"
 	"strconv"
 
@@ -105,14 +104,7 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-// Encode returns a row of plain fields, which always encode.
-func Encode(row any) []byte {
-	raw, err := json.Marshal(row)
-	if err != nil {
-		panic("holder: " + err.Error())
-	}
-	return raw
+func put(key string, row any) storage.Write {
+	return storage.Write{Key: key, Value: storage.Encode(row)}
 }
-
-func put(key string, row any) storage.Write { return storage.Write{Key: key, Value: Encode(row)} }
-func drop(key string) storage.Write         { return storage.Write{Key: key, Delete: true} }
+func drop(key string) storage.Write { return storage.Write{Key: key, Delete: true} }
--- a/instances/instances.go
+++ b/instances/instances.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/storage"
@@ -94,11 +92,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
 	defer cancel()
 	if !d.registered {
-		raw, err := json.Marshal(d.Row)
-		if err != nil {
-			return eris.Wrap(err, "encoding the instance's row")
-		}
-		write := storage.Write{Key: prefix + d.Instance, Value: raw}
+		write := storage.Write{Key: prefix + d.Instance, Value: storage.Encode(d.Row)}
 		if err := d.Table.Commit(ctx, storage.Txn{Writes: []storage.Write{write}}); err != nil {
 			return err
 		}
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -50,3 +50,9 @@
 	// Ended is when a final state was recorded, in Unix milliseconds.
 	Ended int64 `json:"ended,omitempty"`
 }
+
+// Belongs reports whether it is the status of a job that the team submitted to
+// the queue.
+func (s Status) Belongs(team model.TeamName, queue QueueName) bool {
+	return s.Team == string(team) && s.Queue == queue
+}
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -169,11 +169,10 @@
 			continue
 		}
 		if p.now.Sub(r.lastMoved()) > stuckTime {
-			r.reason = "shows no progress"
 			if !s.Gang {
 				r.at.quarantine(p.now)
 			}
-			r.fire(evStop)
+			r.stop("shows no progress")
 		}
 	}
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -119,10 +119,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			for _, r := range t.copies() {
-				r.reason = reason
-				r.fire(evStop)
-			}
+			t.stopRuns(reason)
 		}
 	}
 }
--- a/planner/order.go
+++ b/planner/order.go
@@ -1,10 +1,6 @@
 package planner
 
-import (
-	"time"
-
-	"github.com/hornbeamworks/hornbeam/jobs"
-)
+import "time"
 
 const (
 	// lateFactor is the multiple of a job's objective after which its end is
@@ -38,7 +34,6 @@
 	// due is when the step should have started for the job to meet its
 	// objective.
 	due  time.Time
-	id   jobs.StepID
 	name string
 }
 
@@ -79,7 +74,7 @@
 // rankAnew works out what does not change while the step waits.
 func (p *Planner) rankAnew(s *step) {
 	s.ranked, s.lateAt = true, time.Time{}
-	s.rank = rank{id: s.id, name: s.id.String(), due: s.openedAt}
+	s.rank = rank{name: s.id.String(), due: s.openedAt}
 	queue := p.queueOf(s.job)
 	if queue == nil {
 		s.rank.urgency = overdue
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -101,8 +101,7 @@
 func (p *Planner) stopFor(s *step, stops []*run) {
 	for _, r := range stops {
 		r.task.preempted++
-		r.reason = "makes room for " + s.id.String()
-		r.fire(evStop)
+		r.stop("makes room for " + s.id.String())
 	}
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -136,6 +136,12 @@
 	t.step.job.runGone()
 }
 
+// stop ends the run, saying why.
+func (r *run) stop(reason string) {
+	r.reason = reason
+	r.fire(evStop)
+}
+
 func (r *run) orderStart() {
 	p, s := r.task.step.job.p, r.task.step
 	ticket, _ := s.ticket(r.at)
@@ -265,7 +271,7 @@
 	}
 	if result == evTaskSucceed {
 		t.fire(result)
-		t.stopOthers(nil, "another run of the task succeeded")
+		t.stopRuns("another run of the task succeeded")
 	} else if t.run == nil {
 		t.fire(result)
 	} else if result == evTaskFail && !t.mayRetry() {
--- a/planner/step.go
+++ b/planner/step.go
@@ -124,7 +124,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		t.stopOthers(nil, "task is done")
+		t.stopRuns("task is done")
 	}
 }
 
@@ -137,8 +137,7 @@
 	for _, t := range s.tasks {
 		for _, r := range t.copies() {
 			if r.id.Number == number {
-				r.reason = "a member of its gang did not start"
-				r.fire(evStop)
+				r.stop("a member of its gang did not start")
 			}
 		}
 	}
@@ -183,7 +182,7 @@
 }
 
 // Advised takes the answer to a question; nil tickets mean that there is none.
-// asked is when the answer was on its way at the earliest.
+// answered is when it came.
 func (p *Planner) Advised(q Question, tickets map[model.EndpointID]string, answered time.Time) {
 	p.dirty = true
 	p.countQuestion(q.Cost, -1)
--- a/planner/task.go
+++ b/planner/task.go
@@ -106,13 +106,10 @@
 	return live
 }
 
-// stopOthers stops the task's runs but one.
-func (t *task) stopOthers(but *run, reason string) {
+// stopRuns stops the task's runs.
+func (t *task) stopRuns(reason string) {
 	for _, r := range t.copies() {
-		if r != but {
-			r.reason = reason
-			r.fire(evStop)
-		}
+		r.stop(reason)
 	}
 }
 
