Let the test of a hanging peer wait until its call has come

The comment took the reply of a second call as a sign that the first had been sent; its thread may not have run yet.

Change: the peer says when a call of Hang has come; the test waits for each. Its assertions stay.

--- a/peerrpc/peerrpc_test.go
+++ b/peerrpc/peerrpc_test.go
@@ -17,7 +17,11 @@
 const deadline = 30 * time.Second
 
 // Echo is the service of these tests.
-type Echo struct{ release chan struct{} }
+type Echo struct {
+	// entered has a token for each call of Hang that has come.
+	entered chan struct{}
+	release chan struct{}
+}
 
 // Say returns what it is told.
 func (e *Echo) Say(word string, reply *string) error {
@@ -30,6 +34,7 @@
 
 // Hang answers once it is released.
 func (e *Echo) Hang(word string, reply *string) error {
+	e.entered <- struct{}{}
 	<-e.release
 	*reply = word
 	return nil
@@ -45,7 +50,7 @@
 func serve() serving {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	echo := &Echo{release: make(chan struct{})}
+	echo := &Echo{entered: make(chan struct{}, 4), release: make(chan struct{})}
 	server := peerrpc.NewServer()
 	Expect(server.Register("Echo", echo)).To(Succeed())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -92,11 +97,13 @@
 		defer cancel()
 		err := client.Call(short, s.address, "Echo.Hang", "word", &reply)
 		Expect(eris.Is(err, peerrpc.ErrNoReply)).To(BeTrue())
+		Eventually(s.echo.entered).WithTimeout(deadline).Should(Receive())
 
 		result := make(chan error, 1)
 		go func() { result <- client.Call(ctx, s.address, "Echo.Hang", "word", new(string)) }()
-		// The second call shares the connection, so Say's reply shows that the
-		// call of Hang has been sent or fails with it: either way it got none.
+		// A call that is made after Close opens a connection of its own, so that
+		// Hang has to have come before.
+		Eventually(s.echo.entered).WithTimeout(deadline).Should(Receive())
 		Expect(client.Call(ctx, s.address, "Echo.Say", "word", &reply)).To(Succeed())
 		client.Close()
 		Eventually(result).WithTimeout(deadline).Should(Receive(Not(BeNil())))
