Carry calls on threads of the Go runtime; take a page of ends as a page

Cause: half of the holder's processor at 500 starts a second went to waking threads of the operating system, one for each listener and courier (runtime.futex 23 %, runtime.schedule 29 % of a profile on the stand-in, 350 endpoints).

Change: duties that wait for the answers of calls run on threads of the Go runtime (duty.NewCalling); those that decide keep their own. The harness of the nodes fails a test whose log has a data race and shows it.

Ruled out: threads of Go for the duties that decide, too: no gain.

--- a/advice/advice.go
+++ b/advice/advice.go
@@ -67,7 +67,7 @@
 // New returns an asker that has not started.
 func New(ctx context.Context, service Service, peers *peerrpc.Client) *Asker {
 	a := &Asker{ctx: ctx, service: service, peers: peers}
-	a.Duty = duty.New("asker", ringSize, duty.HandlerFunc[call](a.handle))
+	a.Duty = duty.NewCalling("asker", ringSize, duty.HandlerFunc[call](a.handle))
 	return a
 }
 
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -4,6 +4,10 @@
 // to its handler and is touched by its thread alone. The handler takes the
 // messages of the ring in batches and says when it wants to be woken without a
 // message. No other package starts threads.
+//
+// A duty made by New has a thread of the operating system to itself. One made by
+// NewCalling waits for the answers of blocking calls most of the time; there are
+// many of them, and they run on threads of the Go runtime.
 package duty
 
 import (
@@ -39,19 +43,30 @@
 
 // Duty is a named thread with one input ring of messages of type M.
 type Duty[M any] struct {
-	name    string
+	name string
+	// pinned says that the thread is one of the operating system.
+	pinned  bool
 	in      *ring.Ring[M]
 	handler Handler[M]
 }
 
 // New returns a duty whose ring holds capacity messages. It starts in a Group.
 func New[M any](name string, capacity int, handler Handler[M]) *Duty[M] {
+	d := NewCalling(name, capacity, handler)
+	d.pinned = true
+	return d
+}
+
+// NewCalling returns a duty like New's for a handler that makes blocking calls:
+// waking a thread of the operating system for each answer costs more than the
+// answer's handling.
+func NewCalling[M any](name string, capacity int, handler Handler[M]) *Duty[M] {
 	d := &Duty[M]{name: name, in: ring.New[M](capacity), handler: handler}
 	publish(name, d.in.Stats)
 	return d
 }
 
-// Name returns the name of the duty, which is also its thread's.
+// Name returns the name of the duty, which is also that of its thread.
 func (d *Duty[M]) Name() string { return d.name }
 
 // Offer queues m for the duty or reports false when its ring is full.
@@ -68,9 +83,11 @@
 
 // run is the life of the duty's thread.
 func (d *Duty[M]) run() error {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	nameThread(d.name)
+	if d.pinned {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		nameThread(d.name)
+	}
 	var batch []M
 	wait := time.Duration(0)
 	for {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -71,7 +71,7 @@
 func New(ctx context.Context, o Options) *Feed {
 	f := &Feed{Options: o, version: o.From}
 	f.ctx, f.cancel = context.WithCancel(ctx)
-	f.Duty = duty.New(o.ID, 1, duty.HandlerFunc[struct{}](f.handle))
+	f.Duty = duty.NewCalling(o.ID, 1, duty.HandlerFunc[struct{}](f.handle))
 	return f
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,10 +144,12 @@
 	Clock EndpointTime
 	// Born is the endpoint's start in Unix milliseconds.
 	Born int64
-	// Running and Ended are its runs. Ends beyond a page come with the next
-	// listing.
+	// Running and Ended are its runs.
 	Running []Sighting
 	Ended   []End
+	// More says that there are further ends, which come once these have been
+	// forgotten.
+	More bool
 }
 
 // Errors of orders.
--- a/front/ask.go
+++ b/front/ask.go
@@ -45,7 +45,7 @@
 func newReaders(f *Front) []*duty.Duty[*question] {
 	var all []*duty.Duty[*question]
 	for number := range readers {
-		all = append(all, duty.New("reader"+strconv.Itoa(number), readerRing, duty.HandlerFunc[*question](func(batch []*question) time.Duration {
+		all = append(all, duty.NewCalling("reader"+strconv.Itoa(number), readerRing, duty.HandlerFunc[*question](func(batch []*question) time.Duration {
 			for _, q := range batch {
 				status, answer := f.status(f.ctx, q.id)
 				q.reply <- statusReply{status, answer}
--- a/front/lane.go
+++ b/front/lane.go
@@ -63,7 +63,7 @@
 func newLane(f *Front, number int) *lane {
 	l := &lane{f: f}
 	tableChart.Start(&l.state, l)
-	l.Duty = duty.New("lane"+strconv.Itoa(number), laneRing, duty.HandlerFunc[*submission](l.handle))
+	l.Duty = duty.NewCalling("lane"+strconv.Itoa(number), laneRing, duty.HandlerFunc[*submission](l.handle))
 	return l
 }
 
--- a/holder/cleaner.go
+++ b/holder/cleaner.go
@@ -44,7 +44,7 @@
 
 func newCleaner(h *Holder) *cleaner {
 	c := &cleaner{h: h, ctx: h.cell.ctx, epoch: h.cell.epoch}
-	c.Duty = duty.New("cleaner", cleanRing, duty.HandlerFunc[[]jobs.ID](c.handle))
+	c.Duty = duty.NewCalling("cleaner", cleanRing, duty.HandlerFunc[[]jobs.ID](c.handle))
 	h.cell.start(h, c)
 	return c
 }
--- a/holder/consult.go
+++ b/holder/consult.go
@@ -139,7 +139,7 @@
 	}
 	current := h.cell
 	a := &adviser{address: address}
-	a.Duty = duty.New("adviser", 1, duty.HandlerFunc[planner.Question](func(batch []planner.Question) time.Duration {
+	a.Duty = duty.NewCalling("adviser", 1, duty.HandlerFunc[planner.Question](func(batch []planner.Question) time.Duration {
 		for _, q := range batch {
 			h.consult(current, a, q)
 		}
--- a/holder/links.go
+++ b/holder/links.go
@@ -79,7 +79,7 @@
 		c.planner.SetEndpoint(fleet.Endpoint{ID: id, Address: address, Leaving: true})
 	}
 	epoch := c.epoch
-	l.listener = duty.New("listener", 2, duty.HandlerFunc[fleet.Renewal](func(batch []fleet.Renewal) time.Duration {
+	l.listener = duty.NewCalling("listener", 2, duty.HandlerFunc[fleet.Renewal](func(batch []fleet.Renewal) time.Duration {
 		for _, order := range batch {
 			h.list(c.ctx, epoch, order)
 		}
--- a/holder/orders.go
+++ b/holder/orders.go
@@ -50,7 +50,7 @@
 
 func newCourier(h *Holder, c *cell, number int) *courier {
 	lane := &courier{}
-	lane.Duty = duty.New("courier"+strconv.Itoa(number), courierRing, duty.HandlerFunc[courierOrder](func(batch []courierOrder) time.Duration {
+	lane.Duty = duty.NewCalling("courier"+strconv.Itoa(number), courierRing, duty.HandlerFunc[courierOrder](func(batch []courierOrder) time.Duration {
 		for _, order := range batch {
 			h.tell(orderMessage{epoch: c.epoch, lane: lane, order: order, err: h.carry(c.ctx, order)})
 		}
--- a/holder/prune.go
+++ b/holder/prune.go
@@ -44,7 +44,7 @@
 // NewPruner returns a pruner that has not started; its calls end with ctx.
 func NewPruner(ctx context.Context, table storage.FeedTable, parts Parts, wall clock.Clock, log *logging.Logger) *Pruner {
 	p := &Pruner{ctx: ctx, table: table, parts: parts, wall: wall, log: log}
-	p.Duty = duty.New("pruner", 1, duty.HandlerFunc[struct{}](p.handle))
+	p.Duty = duty.NewCalling("pruner", 1, duty.HandlerFunc[struct{}](p.handle))
 	return p
 }
 
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -81,7 +81,7 @@
 
 func newRecorder(h *Holder, version storage.RowVersion) *recorder {
 	w := &writer{h: h, ctx: h.cell.ctx, epoch: h.elected, version: version}
-	w.Duty = duty.New("recorder", 1, duty.HandlerFunc[[]storage.Write](w.handle))
+	w.Duty = duty.NewCalling("recorder", 1, duty.HandlerFunc[[]storage.Write](w.handle))
 	h.cell.start(h, w)
 	return &recorder{
 		writer:  w,
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -90,7 +90,7 @@
 	h.cell = c
 	c.planner.Clock(h.now, h.Wall.Now().UnixMilli())
 	reader := &restorer{table: h.Table, parts: h.Parts, epoch: c.epoch, ctx: ctx, h: h}
-	reader.Duty = duty.New("restorer", 1, duty.HandlerFunc[struct{}](reader.handle))
+	reader.Duty = duty.NewCalling("restorer", 1, duty.HandlerFunc[struct{}](reader.handle))
 	c.start(h, reader)
 }
 
--- a/instances/instances.go
+++ b/instances/instances.go
@@ -66,7 +66,7 @@
 func New(ctx context.Context, o Options) *Directory {
 	d := &Directory{Options: o, ctx: ctx}
 	d.others.Store(&[]string{})
-	d.Duty = duty.New("directory", 1, duty.HandlerFunc[struct{}](d.handle))
+	d.Duty = duty.NewCalling("directory", 1, duty.HandlerFunc[struct{}](d.handle))
 	return d
 }
 
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -116,16 +117,21 @@
 	return how
 }
 
+// end ends what is left after a test and shows the log of a failed one. A data
+// race or a panic of the process fails the test.
 func (n *Node) end() {
-	if n.ended == nil {
-		return
+	if n.ended != nil {
+		// The process may have ended by itself.
+		_ = n.command.Process.Kill()
+		<-n.ended
 	}
-	// The process may have ended by itself.
-	_ = n.command.Process.Kill()
-	<-n.ended
+	log := n.Log()
 	if ginkgo.CurrentSpecReport().Failed() {
-		if log, err := os.ReadFile(n.log); err == nil {
-			ginkgo.AddReportEntry(filepath.Base(n.log), string(log[max(0, len(log)-logTail):]))
+		ginkgo.AddReportEntry(filepath.Base(n.log), log[max(0, len(log)-logTail):])
+	}
+	for _, fault := range []string{"DATA RACE", "panic:"} {
+		if at := strings.Index(log, fault); at >= 0 {
+			ginkgo.Fail(filepath.Base(n.log) + ": " + log[at:min(len(log), at+logTail)])
 		}
 	}
 }
--- a/logging/asyncwriter.go
+++ b/logging/asyncwriter.go
@@ -35,7 +35,7 @@
 // NewAsyncWriter returns a writer to out that has not started.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
 	w := &AsyncWriter{out: out}
-	w.Duty = duty.New("log", writerRing, duty.HandlerFunc[[]byte](w.handle))
+	w.Duty = duty.NewCalling("log", writerRing, duty.HandlerFunc[[]byte](w.handle))
 	return w
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -157,7 +157,8 @@
 }
 
 // Listed takes an endpoint's listing. asked is when it was asked for. Runs that
-// nobody knows are returned: they are to be stopped.
+// nobody knows are returned: they are to be stopped. A run that the listing does
+// not show is gone, unless there are further ends.
 func (p *Planner) Listed(id model.EndpointID, l fleet.Listing, asked time.Time) []jobs.RunID {
 	e := p.endpoints[id]
 	if e == nil {
@@ -179,7 +180,9 @@
 		e.strangers = !e.strangers
 		p.noteFreed(e)
 	}
-	p.findAbsent(e, asked)
+	if !l.More {
+		p.findAbsent(e, asked)
+	}
 	return unknown
 }
 
