Carry orders through other instances in batches; let larger instances hold the cell

The planner takes 4 to 7 % of a profile, calls of endpoints more than half.

Change: package dispatch. A holder with more than 96 endpoints hands starts, stops and renewals in batches to the largest instances of the endpoints' domain, which make the calls and hand back outcomes. Who asked when is judged by the holder's clock alone, so that what a listing shows means what it meant before. An instance that does not answer gets nothing for 1.5 s, and what it had is settled as if its answers had been lost, without blame on the endpoints.

A small instance waits a second for one of twice its size before it claims the cell, and makes way for one once. The parts of the cell are read each with a timeout of its own: over a link of 10 Mbit/s all of them took longer than the 4 s that were allowed, so that such a holder never began.

Ruled out: several holders that part the endpoints (team limits and gangs would have to be parted, too).

--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -13,12 +13,14 @@
 
 	"github.com/hornbeamworks/hornbeam/advice"
 	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/dispatch"
 	"github.com/hornbeamworks/hornbeam/election"
 	"github.com/hornbeamworks/hornbeam/feed"
 	"github.com/hornbeamworks/hornbeam/front"
 	"github.com/hornbeamworks/hornbeam/holder"
 	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
 	"github.com/hornbeamworks/hornbeam/platform"
 	"github.com/hornbeamworks/hornbeam/process"
@@ -33,6 +35,9 @@
 	idleTimeout   = 15 * time.Second
 	// headerBytes bounds callers' headers.
 	headerBytes = 16 << 10
+	// largerTimes is how many times as large an instance is that an instance lets
+	// hold the cell in its place.
+	largerTimes = 2
 	// memoryShare is the part of the instance's memory that the collector
 	// keeps the heap below.
 	memoryShare = 0.5
@@ -47,6 +52,8 @@
 	incarnation string
 	table       *platform.Table
 	relayed     *relay.Table
+	endpoints   *platform.Endpoints
+	agent       *dispatch.Agent
 	directory   *instances.Directory
 	holder      *holder.Holder
 	election    *election.Election
@@ -80,16 +87,22 @@
 		process:     process.New(log, clock.System{}, s.Drain.Timeout),
 		incarnation: uuid.NewString(),
 		table:       platform.NewTable(s.Table.Address, s.Table.Across),
+		endpoints:   platform.NewEndpoints(),
 		peers:       peerrpc.NewServer(),
 	}
 	n.ctx = n.process.Group().Context()
 	n.directory = instances.New(n.ctx, instances.Options{
-		Instance: s.Node.Name, Row: instances.Row{Address: s.Listen.Peers, Incarnation: n.incarnation},
-		Table: n.table, Log: log, Sink: func(addresses []string) { n.holder.SetInstances(addresses) },
+		Self: s.Node.Name,
+		Row: instances.Row{
+			Instance:    instances.Instance{Address: s.Listen.Peers, Domain: model.DomainName(s.Node.Domain), CPUShare: s.Runtime.CPUShare},
+			Incarnation: n.incarnation,
+		},
+		Table: n.table, Log: log, Sink: func(others []instances.Instance) { n.holder.SetInstances(others) },
 	})
-	n.relayed = relay.New(n.table, callers, n.directory.Others, clock.Boot{}, log)
+	n.relayed = relay.New(n.table, callers, n.directory.Addresses, clock.Boot{}, log)
 	n.asker = advice.New(n.ctx, platform.NewAdvisor(s.Advice.Address), callers)
-	n.addHolder()
+	n.agent = dispatch.NewAgent(n.ctx, n.endpoints, clock.Boot{}, log, n.process.Group().Start)
+	n.addHolder(callers)
 	n.view = view.New(platform.Source{}, n.holder, clock.Boot{}, log)
 	n.front = front.New(n.ctx, front.Options{
 		Parts: holder.Parts(s.Table.Parts), View: n.view, Table: n.relayed,
@@ -98,18 +111,20 @@
 	return n
 }
 
-func (n *node) addHolder() {
+func (n *node) addHolder(callers *peerrpc.Client) {
 	s := n.settings
 	n.holder = holder.New(n.ctx, holder.Settings{
 		Node: s.Node.Name, Parts: holder.Parts(s.Table.Parts), MaxLease: s.Cell.MaxLease,
+		DirectEndpoints: s.Cell.DirectEndpoints,
 	}, holder.Outside{
-		Table: n.relayed, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: n.asker,
-		Instances: n.directory.Others,
-		Clock:     clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Group().Start,
+		Table: n.relayed, Registry: platform.Source{}, Command: n.endpoints, Advice: n.asker,
+		Instances: n.directory.Others, Peers: callers,
+		Clock: clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Group().Start,
 	})
 	n.election = election.New(n.ctx, election.Options{
 		Node: s.Node.Name, Incarnation: n.incarnation, CPUShare: s.Runtime.CPUShare,
-		Table: n.relayed, Clock: clock.Boot{}, Log: n.log, Listener: n.holder,
+		Larger: func() bool { return n.directory.Largest() >= largerTimes*s.Runtime.CPUShare },
+		Table:  n.relayed, Clock: clock.Boot{}, Log: n.log, Listener: n.holder,
 	})
 }
 
@@ -121,6 +136,9 @@
 	if err := relay.Serve(n.peers, n.table); err != nil {
 		return err
 	}
+	if err := n.agent.Register(n.peers); err != nil {
+		return err
+	}
 	peers, err := net.Listen("tcp", n.settings.Listen.Peers)
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
@@ -194,7 +212,7 @@
 		Source: n.relayed, Clock: clock.Boot{}, Log: n.log, Sink: n.view.Update,
 	})
 	n.process.Start(n.front.Duties()...)
-	n.process.Start(n.asker, n.holder, follow, n.election, n.directory)
+	n.process.Start(n.asker, n.agent, n.holder, follow, n.election, n.directory)
 	n.process.OnReload(n.reload)
 	n.process.Configured()
 }
--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -66,6 +66,9 @@
 type cellSection struct {
 	// MaxLease is the longest lease that endpoints grant.
 	MaxLease time.Duration `ini:"max_lease" validate:"min=1s"`
+	// DirectEndpoints is the number of endpoints up to which the holder calls
+	// all of them itself.
+	DirectEndpoints int `ini:"direct_endpoints" validate:"min=0"`
 }
 
 // drainSection bounds a planned stop.
@@ -93,6 +96,9 @@
 	// defaultBurst lets each decision on a request leave its line at the rates
 	// of today's deployments, and bounds what a storm writes.
 	defaultBurst = 500
+	// defaultDirect keeps the calls of endpoints below a quarter of a core at 2.5
+	// starts a second on each: docs/CAPACITY.md has the cost of a start.
+	defaultDirect = 96
 	// defaultLinger covers two checks of the ready page, one a second.
 	defaultLinger = 2300 * time.Millisecond
 )
@@ -100,6 +106,7 @@
 func loadSettings(file string) (*nodeSettings, error) {
 	s := &nodeSettings{
 		Table: tableSection{Parts: defaultParts},
+		Cell:  cellSection{DirectEndpoints: defaultDirect},
 		Drain: drainSection{Linger: defaultLinger, Timeout: 5 * time.Second},
 		Log:   logging.Settings{Level: "info", Burst: defaultBurst},
 	}
--- a/election/election.go
+++ b/election/election.go
@@ -54,6 +54,12 @@
 	// claimBase is the pause of an instance with a whole core before it claims;
 	// smaller ones wait in proportion, so that larger ones hold the cell.
 	claimBase = 40 * time.Millisecond
+	// deferTime is how long an instance waits in addition while one of at least
+	// twice its size is known: the time of a call that failed and its repetition.
+	deferTime = time.Second
+	// yieldAfter is how long it holds the cell before it makes way for such a
+	// one, once.
+	yieldAfter = 4 * time.Second
 )
 
 // Lease is the lease row.
@@ -97,6 +103,9 @@
 	Node, Incarnation string
 	// CPUShare is the share of a core that the instance has.
 	CPUShare float64
+	// Larger reports whether another instance of at least twice its size is
+	// known.
+	Larger   func() bool
 	Table    storage.FeedTable
 	Clock    clock.Clock
 	Log      *logging.Logger
@@ -121,11 +130,19 @@
 	epochAt storage.RowVersion
 	renewAt time.Time
 	sent    time.Time
+	// heldSince is when the instance won.
+	heldSince time.Time
+	// claimAt is when to claim; deferred says that larger instances have been
+	// waited for.
+	claimAt  time.Time
+	deferred bool
+	// yielded says that the cell was given up for a larger instance.
+	yielded bool
 }
 
 var machine *chart.Machine[Election]
 
-var evVacant, evWon, evLost, evResign chart.Event
+var evVacant, evWon, evLost, evYield, evResign chart.Event
 
 var stFollowing, stClaiming, stHolding chart.State
 
@@ -140,6 +157,7 @@
 	evVacant = machine.MustEvent("vacant")
 	evWon = machine.MustEvent("won")
 	evLost = machine.MustEvent("lost")
+	evYield = machine.MustEvent("yield")
 	evResign = machine.MustEvent("resign")
 	stFollowing = machine.MustState("following")
 	stClaiming = machine.MustState("claiming")
@@ -217,8 +235,7 @@
 		}
 	}
 	if e.free() || len(found.Changes) == 0 && !asked.Add(wait).Before(e.vacantAt()) && e.vacant() {
-		e.fire(evVacant)
-		return e.claimPause()
+		return e.prepare()
 	}
 	return 0
 }
@@ -250,8 +267,12 @@
 		e.lease.Node == e.Node && e.lease.Incarnation != e.Incarnation
 }
 
-func (e *Election) claimPause() time.Duration {
-	return time.Duration(float64(claimBase) / max(e.CPUShare, 0.05))
+// prepare begins a claim.
+func (e *Election) prepare() time.Duration {
+	e.fire(evVacant)
+	pause := time.Duration(float64(claimBase) / max(e.CPUShare, 0.05))
+	e.claimAt, e.deferred = e.Clock.Now().Add(pause), false
+	return pause
 }
 
 func (e *Election) readLease() time.Duration {
@@ -272,8 +293,7 @@
 		e.note(row, row.Version == 0)
 	}
 	if e.free() {
-		e.fire(evVacant)
-		return e.claimPause()
+		return e.prepare()
 	}
 	return 0
 }
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -58,11 +58,16 @@
 // join starts a candidate at the table. Its end is like that of a killed
 // process: nothing is released.
 func join(stand *platformtest.Table, name, incarnation string) *candidate {
+	return joinBeside(stand, name, incarnation, false)
+}
+
+// joinBeside does the same where an instance of twice its size is known or not.
+func joinBeside(stand *platformtest.Table, name, incarnation string, larger bool) *candidate {
 	c := &candidate{}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.Election = election.New(ctx, election.Options{
-		Node: name, Incarnation: incarnation, CPUShare: 1, Table: platform.NewTable(stand.Address, true),
+		Node: name, Incarnation: incarnation, CPUShare: 1, Larger: func() bool { return larger }, Table: platform.NewTable(stand.Address, true),
 		Clock: clock.Boot{}, Log: logging.Discard(), Listener: c,
 	})
 	group := duty.NewGroup(context.Background())
@@ -131,6 +136,26 @@
 		Eventually(func() int { return holders(b) }, patience).Should(Equal(1))
 	})
 
+	It("gives the cell to the larger of two that start together", func() {
+		small, large := joinBeside(stand, "a", "1", true), join(stand, "b", "1")
+		Eventually(func() int { return holders(large) }, patience).Should(Equal(1))
+		Expect(holders(small)).To(BeZero())
+	})
+
+	It("gives the cell to a smaller one when no larger one comes, which makes way later", func() {
+		small := joinBeside(stand, "a", "1", true)
+		Eventually(func() int { return holders(small) }, patience).Should(Equal(1))
+		large := join(stand, "b", "1")
+		Eventually(func() int { return holders(large) }, patience).Should(Equal(1))
+		Eventually(func() int { return holders(small) }, patience).Should(BeZero())
+	})
+
+	It("keeps a smaller holder that has made way in vain", func() {
+		small := joinBeside(stand, "a", "1", true)
+		Eventually(func() int { _, _, elects := small.state(); return elects }, patience).Should(Equal(2))
+		Consistently(func() int { _, _, elects := small.state(); return elects }, 6*time.Second).Should(Equal(2))
+	})
+
 	It("keeps the holder while answers to its renewals are lost", func() {
 		a := join(stand, "a", "1")
 		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
--- a/election/holding.go
+++ b/election/holding.go
@@ -13,6 +13,13 @@
 
 // claim tries to take the next epoch.
 func (e *Election) claim() time.Duration {
+	if wait := e.claimAt.Sub(e.Clock.Now()); wait > 0 {
+		return wait
+	}
+	if !e.deferred && e.Larger() {
+		e.deferred, e.claimAt = true, e.Clock.Now().Add(deferTime)
+		return deferTime
+	}
 	ctx, cancel := context.WithTimeout(e.ctx, 2*callTimeout)
 	defer cancel()
 	previous, version, err := e.readEpoch(ctx)
@@ -46,7 +53,7 @@
 		e.fire(evLost)
 		return retryPause
 	}
-	e.epoch, e.epochAt, e.lease, e.sent = next, version, lease, sent
+	e.epoch, e.epochAt, e.lease, e.sent, e.heldSince = next, version, lease, sent, sent
 	e.renewAt = sent.Add(renewPeriod)
 	e.fire(evWon)
 	return e.renewAt.Sub(e.Clock.Now())
@@ -92,6 +99,11 @@
 	if wait := e.renewAt.Sub(now); wait > 0 {
 		return wait
 	}
+	if !e.yielded && now.Sub(e.heldSince) > yieldAfter && e.Larger() {
+		e.yielded = true
+		e.fire(evYield)
+		return 0
+	}
 	err := e.writeLease(e.ctx, false)
 	switch {
 	case err == nil:
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -21,8 +21,9 @@
 	watchTime = 1500 * time.Millisecond
 	// callTimeout is allowed for a call beyond its wait.
 	callTimeout = 900 * time.Millisecond
-	// scanTimeout bounds the reading of all rows.
-	scanTimeout = 3 * time.Second
+	// scanTimeout bounds the reading of one part: an instance with a link of 10
+	// Mbit/s reads 6 MB in it.
+	scanTimeout = 5 * time.Second
 	// retryPause is the pause after a failed call.
 	retryPause = 200 * time.Millisecond
 )
@@ -105,11 +106,9 @@
 }
 
 func (f *Feed) readAll() error {
-	ctx, cancel := context.WithTimeout(f.ctx, scanTimeout)
-	defer cancel()
 	update := Update{Whole: true, Asked: f.Clock.Now()}
 	for _, prefix := range f.Prefixes {
-		found, err := f.Source.Scan(ctx, prefix)
+		found, err := f.scan(prefix)
 		if err != nil {
 			return err
 		}
@@ -125,6 +124,13 @@
 	return nil
 }
 
+// scan reads the rows of one part.
+func (f *Feed) scan(prefix string) (storage.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(f.ctx, scanTimeout)
+	defer cancel()
+	return f.Source.Scan(ctx, prefix)
+}
+
 func (f *Feed) readChanges() error {
 	ctx, cancel := context.WithTimeout(f.ctx, watchTime+callTimeout)
 	defer cancel()
--- a/holder/consult.go
+++ b/holder/consult.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/planner"
@@ -116,13 +117,13 @@
 	return list
 }
 
-// setInstances takes the peer addresses of the other instances.
-func (c *consults) setInstances(h *Holder, addresses []string) {
+// setInstances takes the other instances.
+func (c *consults) setInstances(h *Holder, others []instances.Instance) {
 	c.ensure(h, "")
 	listed := map[string]bool{"": true}
-	for _, address := range addresses {
-		listed[address] = true
-		c.ensure(h, address)
+	for _, i := range others {
+		listed[i.Address] = true
+		c.ensure(h, i.Address)
 	}
 	for address, a := range c.advisers {
 		if !listed[address] && !a.busy {
@@ -192,14 +193,15 @@
 	c.planner.Advised(m.question, m.tickets, m.answered)
 }
 
-// SetInstances takes the peer addresses of the other instances.
-func (h *Holder) SetInstances(addresses []string) { h.tell(instancesMessage{addresses}) }
+// SetInstances takes the other instances.
+func (h *Holder) SetInstances(others []instances.Instance) { h.tell(instancesMessage{others}) }
 
-type instancesMessage struct{ addresses []string }
+type instancesMessage struct{ others []instances.Instance }
 
 func (m instancesMessage) apply(h *Holder) {
 	if actingStates.Has(h.state) {
-		h.cell.consults.setInstances(h, m.addresses)
+		h.cell.consults.setInstances(h, m.others)
+		h.cell.errands.setInstances(m.others)
 	}
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -17,10 +17,12 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/election"
 	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/metrics"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/peerrpc"
 	"github.com/hornbeamworks/hornbeam/planner"
 	"github.com/hornbeamworks/hornbeam/storage"
 )
@@ -57,6 +59,9 @@
 	Parts Parts
 	// MaxLease bounds an endpoint's lease.
 	MaxLease time.Duration
+	// DirectEndpoints is the number of endpoints up to which this instance
+	// calls all of them itself.
+	DirectEndpoints int
 }
 
 // Outside is what the holder uses.
@@ -65,8 +70,9 @@
 	Registry Registry
 	Command  fleet.Commander
 	Advice   Adviser
-	// Instances returns the peer addresses of the other instances.
-	Instances func() []string
+	// Instances returns the other instances, Peers calls them.
+	Instances func() []instances.Instance
+	Peers     *peerrpc.Client
 	// Clock is steady, Wall tells the date.
 	Clock, Wall clock.Clock
 	Log         *logging.Logger
@@ -115,7 +121,7 @@
 	inOrder []*link
 	// roster are the endpoints that a successor has to list.
 	roster   map[model.EndpointID]rosterEntry
-	couriers []*courier
+	errands  *errands
 	consults *consults
 	recorder *recorder
 	cleaner  *cleaner
@@ -194,6 +200,7 @@
 // drive does what is due and returns when to be called again.
 func (h *Holder) drive() time.Duration {
 	c := h.cell
+	c.errands.expire(h)
 	h.serveLinks()
 	h.retryStops()
 	if h.mayAct() && h.decideDue() {
@@ -204,6 +211,7 @@
 	}
 	h.carryOut(c.planner.Take())
 	c.consults.dispatch(h)
+	c.errands.flush(h)
 	h.publishQueues()
 	c.recorder.flush(h)
 	h.logStats()
--- a/holder/links.go
+++ b/holder/links.go
@@ -1,14 +1,13 @@
 package holder
 
 import (
-	"context"
 	"log/slog"
 	"sort"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/dispatch"
 	"github.com/hornbeamworks/hornbeam/feed"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
@@ -25,8 +24,6 @@
 	leaseMargin = 100 * time.Millisecond
 	// listWait is how long a listing waits for an end.
 	listWait = 600 * time.Millisecond
-	// listTimeout is allowed for a listing beyond its wait.
-	listTimeout = 600 * time.Millisecond
 	// recordWait is how long the next listing waits for the ends of the last
 	// one to be recorded.
 	recordWait = 400 * time.Millisecond
@@ -43,9 +40,8 @@
 type link struct {
 	id      model.EndpointID
 	address string
-	// listener asks the endpoint for its listing, on a thread of its own.
-	listener *duty.Duty[fleet.Renewal]
-	busy     bool
+	// busy says that a renewal is under way.
+	busy bool
 	// clock is the endpoint's time as of clockAt; born its last known start.
 	clock   fleet.EndpointTime
 	clockAt time.Time
@@ -78,28 +74,12 @@
 		// It takes no work until its registry entry has been read.
 		c.planner.SetEndpoint(fleet.Endpoint{ID: id, Address: address, Leaving: true})
 	}
-	epoch := c.epoch
-	l.listener = duty.NewCalling("listener", 2, duty.HandlerFunc[fleet.Renewal](func(batch []fleet.Renewal) time.Duration {
-		for _, order := range batch {
-			h.list(c.ctx, epoch, order)
-		}
-		return duty.Never
-	}))
 	c.links[id] = l
 	c.inOrder = nil
-	c.start(h, l.listener)
+	c.errands.stale = true
 	return l
 }
 
-// list makes one call on the listener's thread.
-func (h *Holder) list(parent context.Context, epoch uint64, order fleet.Renewal) {
-	ctx, cancel := context.WithTimeout(parent, order.Wait+listTimeout)
-	defer cancel()
-	asked := h.Clock.Now()
-	found, err := h.Command.Renew(ctx, order)
-	h.tell(listedMessage{epoch: epoch, id: order.ID, asked: asked, answered: h.Clock.Now(), listing: found, err: err})
-}
-
 // serveLinks sends the renewals that are due and looks for leases that have
 // ended.
 func (h *Holder) serveLinks() {
@@ -138,9 +118,7 @@
 	if l.seen != l.forget || l.clock == 0 {
 		order.Wait = 0
 	}
-	if l.listener.Offer(order) {
-		l.busy = true
-	}
+	l.busy = h.errand(l, dispatch.Errand{Renew: &order})
 }
 
 func (l *link) target() fleet.Target { return fleet.Target{ID: l.id, Address: l.address} }
@@ -178,9 +156,9 @@
 
 func (h *Holder) removeLink(l *link) {
 	c := h.cell
-	l.listener.Stop()
 	delete(c.links, l.id)
 	c.inOrder = nil
+	c.errands.stale = true
 	if _, listed := c.roster[l.id]; listed {
 		delete(c.roster, l.id)
 		c.recorder.rosterChanged = true
@@ -188,51 +166,39 @@
 	h.Log.Info("endpoint_forgotten", slog.String("endpoint", string(l.id)))
 }
 
-// listedMessage is an endpoint's answer.
-type listedMessage struct {
-	epoch           uint64
-	id              model.EndpointID
-	asked, answered time.Time
-	listing         fleet.Listing
-	err             error
-}
-
-func (m listedMessage) apply(h *Holder) {
-	c := h.cell
-	if c == nil || c.epoch != m.epoch || c.links[m.id] == nil {
-		return
-	}
-	l := c.links[m.id]
+// listed takes the outcome of a renewal.
+func (h *Holder) listed(l *link, p pending, o dispatch.Outcome) {
 	l.busy = false
-	if m.err != nil {
-		h.listingFailed(l, m.err)
+	if err := o.Err(); err != nil {
+		h.listingFailed(l, err)
 		return
 	}
 	if l.failures > 0 {
 		h.Log.Info("endpoint_regained", slog.String("endpoint", string(l.id)), slog.Int("failures", l.failures))
 	}
 	l.failures = 0
-	h.takeListing(l, m)
+	h.takeListing(l, p.at, o.Listing)
 }
 
-func (h *Holder) takeListing(l *link, m listedMessage) {
+// takeListing takes what the endpoint lists; asked is when it was asked at the
+// earliest.
+func (h *Holder) takeListing(l *link, asked time.Time, listing fleet.Listing) {
 	c := h.cell
-	if m.listing.Born != l.born {
-		l.born, l.seen, l.forget, l.until = m.listing.Born, 0, 0, 0
+	if listing.Born != l.born {
+		l.born, l.seen, l.forget, l.until = listing.Born, 0, 0, 0
 	}
-	l.clock, l.clockAt = m.listing.Clock, m.answered
+	l.clock, l.clockAt = listing.Clock, h.now
 	l.nextAt = h.now
-	fresh := m.listing
+	fresh := listing
 	fresh.Ended = nil
-	for _, e := range m.listing.Ended {
+	for _, e := range listing.Ended {
 		if e.Number > l.seen {
 			l.seen = e.Number
 			fresh.Ended = append(fresh.Ended, e)
 			h.logEnd(l, e)
 		}
 	}
-	// Ends beyond a page of the listing come with the next one.
-	for _, run := range c.planner.Listed(l.id, fresh, m.asked) {
+	for _, run := range c.planner.Listed(l.id, fresh, asked) {
 		h.stopStranger(l, run)
 	}
 }
@@ -266,7 +232,7 @@
 // stopStranger stops a run that belongs to no job.
 func (h *Holder) stopStranger(l *link, run jobs.RunID) {
 	h.Log.Warn("unknown_run", slog.String("id", string(run.Task.Job)), slog.String("run", run.String()), slog.String("endpoint", string(l.id)))
-	h.send(courierOrder{stop: &fleet.Stop{Target: l.target(), Run: run, Epoch: h.cell.epoch}})
+	h.errand(l, dispatch.Errand{Stop: &fleet.Stop{Target: l.target(), Run: run, Epoch: h.cell.epoch}})
 }
 
 // registryMessage are changes of the endpoints' entries.
@@ -321,6 +287,7 @@
 		h.Log.Info("endpoint_entry", slog.String("endpoint", string(info.ID)), slog.String("address", info.Address),
 			slog.String("domain", string(info.Domain)), slog.Bool("leaving", info.Leaving), slog.Int64("born", info.Born))
 	}
+	c.errands.stale = c.errands.stale || l.info.Domain != info.Domain
 	l.info, l.address, l.missing = info, info.Address, time.Time{}
 	c.planner.SetEndpoint(info)
 	if _, known := c.roster[info.ID]; !known {
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// restoreTimeout bounds one try to read the cell.
-	restoreTimeout = 4 * time.Second
+	// scanTimeout bounds the reading of one part: an instance with a link of 10
+	// Mbit/s reads 10 MB in it.
+	scanTimeout = 8 * time.Second
 	// restorePause is the pause after a try that failed.
 	restorePause = 150 * time.Millisecond
 	// jobsPause is the least time between two calls of the jobs' feed: jobs
@@ -111,6 +112,7 @@
 	c, r := h.cell, h.cell.restored
 	c.restored = nil
 	c.recorder = newRecorder(h, r.record)
+	c.errands = newErrands(h)
 	c.cleaner = newCleaner(h)
 	c.start(h, NewPruner(c.ctx, h.Table, h.Parts, h.Wall, h.Log))
 	if h.catalog != nil {
@@ -146,9 +148,6 @@
 
 func (h *Holder) startDuties(from storage.RowVersion) {
 	c := h.cell
-	for range courierLanes {
-		h.addCourier()
-	}
 	common := feed.Options{Source: h.Table, Clock: h.Clock, Log: h.Log}
 	jobsFeed := common
 	jobsFeed.ID, jobsFeed.Table, jobsFeed.Prefixes = "jobs_feed", JobsTable, h.Parts.Prefixes(JobsTable)
@@ -162,6 +161,7 @@
 		c.start(h, feed.New(c.ctx, o))
 	}
 	c.consults.setInstances(h, h.Instances())
+	c.errands.setInstances(h.Instances())
 }
 
 // jobsMessage are accepted or cancelled jobs.
@@ -268,23 +268,23 @@
 }
 
 func (r *restorer) read() (*restored, error) {
-	ctx, cancel := context.WithTimeout(r.ctx, restoreTimeout)
-	defer cancel()
 	found := &restored{
 		epoch: r.epoch, jobs: map[jobs.ID]*jobs.Job{},
 		progress: map[jobs.ID]*jobs.Progress{},
 	}
-	if err := r.readFixed(ctx, found); err != nil {
+	if err := r.readFixed(found); err != nil {
 		return nil, err
 	}
-	if err := r.readJobs(ctx, found); err != nil {
+	if err := r.readJobs(found); err != nil {
 		return nil, err
 	}
-	return found, r.readProgress(ctx, found)
+	return found, r.readProgress(found)
 }
 
 // readFixed reads the rows that there is one of.
-func (r *restorer) readFixed(ctx context.Context, found *restored) error {
+func (r *restorer) readFixed(found *restored) error {
+	ctx, cancel := context.WithTimeout(r.ctx, scanTimeout)
+	defer cancel()
 	row, err := r.table.Get(ctx, rosterKey)
 	if err == nil {
 		err = json.Unmarshal(row.Value, &found.roster)
@@ -300,9 +300,16 @@
 	return nil
 }
 
-func (r *restorer) readJobs(ctx context.Context, found *restored) error {
+// scan reads the rows of one part.
+func (r *restorer) scan(prefix string) (storage.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, scanTimeout)
+	defer cancel()
+	return r.table.Scan(ctx, prefix)
+}
+
+func (r *restorer) readJobs(found *restored) error {
 	for _, prefix := range r.parts.Prefixes(JobsTable) {
-		rows, err := r.table.Scan(ctx, prefix)
+		rows, err := r.scan(prefix)
 		if err != nil {
 			return err
 		}
@@ -324,8 +331,8 @@
 	return nil
 }
 
-func (r *restorer) readProgress(ctx context.Context, found *restored) error {
-	rows, err := r.table.Scan(ctx, progressPrefix)
+func (r *restorer) readProgress(found *restored) error {
+	rows, err := r.scan(progressPrefix)
 	if err != nil {
 		return err
 	}
--- a/instances/instances.go
+++ b/instances/instances.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/storage"
 )
 
@@ -32,24 +33,32 @@
 	startReads  = 6
 )
 
-// Row is the row of an instance.
-type Row struct {
+// Instance is an instance of the system.
+type Instance struct {
 	// Address is its peer address.
 	Address string `json:"address"`
+	// Domain is its failure domain.
+	Domain model.DomainName `json:"domain"`
+	// CPUShare is the share of a core that it has.
+	CPUShare float64 `json:"cpu_share"`
+}
+
+// Row is the row of an instance.
+type Row struct {
+	Instance
 	// Incarnation names one run of its process.
 	Incarnation string `json:"incarnation"`
 }
 
 // Options are what the directory needs.
 type Options struct {
-	// Instance names this instance, Row is its row.
-	Instance string
-	Row      Row
-	Table    storage.Table
-	Log      *logging.Logger
-	// Sink is told when the others' addresses have changed, on the directory's
-	// thread.
-	Sink func(addresses []string)
+	// Self names this instance, Row is its row.
+	Self  string
+	Row   Row
+	Table storage.Table
+	Log   *logging.Logger
+	// Sink is told when the others have changed, on the directory's thread.
+	Sink func(others []Instance)
 }
 
 // Directory is the duty that registers this instance and reads the others.
@@ -59,19 +68,38 @@
 	ctx        context.Context
 	registered bool
 	reads      int
-	others     atomic.Pointer[[]string]
+	others     atomic.Pointer[[]Instance]
 }
 
 // New returns a directory that has not started; its calls end with ctx.
 func New(ctx context.Context, o Options) *Directory {
 	d := &Directory{Options: o, ctx: ctx}
-	d.others.Store(&[]string{})
+	d.others.Store(&[]Instance{})
 	d.Duty = duty.NewCalling("directory", 1, duty.HandlerFunc[struct{}](d.handle))
 	return d
 }
 
-// Others returns the peer addresses of the other instances.
-func (d *Directory) Others() []string { return *d.others.Load() }
+// Others returns the other instances.
+func (d *Directory) Others() []Instance { return *d.others.Load() }
+
+// Addresses returns the peer addresses of the other instances.
+func (d *Directory) Addresses() []string {
+	others := d.Others()
+	addresses := make([]string, 0, len(others))
+	for _, i := range others {
+		addresses = append(addresses, i.Address)
+	}
+	return addresses
+}
+
+// Largest returns the largest share of a core that another instance has.
+func (d *Directory) Largest() float64 {
+	largest := 0.0
+	for _, i := range d.Others() {
+		largest = max(largest, i.CPUShare)
+	}
+	return largest
+}
 
 func (d *Directory) handle([]struct{}) time.Duration {
 	if d.ctx.Err() != nil {
@@ -92,7 +120,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
 	defer cancel()
 	if !d.registered {
-		write := storage.Write{Key: prefix + d.Instance, Value: storage.Encode(d.Row)}
+		write := storage.Write{Key: prefix + d.Self, Value: storage.Encode(d.Row)}
 		if err := d.Table.Commit(ctx, storage.Txn{Writes: []storage.Write{write}}); err != nil {
 			return err
 		}
@@ -109,21 +137,21 @@
 	if err != nil {
 		return err
 	}
-	var addresses []string
+	var others []Instance
 	for _, row := range rows {
 		var other Row
 		if err := json.Unmarshal(row.Value, &other); err != nil {
 			d.Log.Error("instance_unreadable", slog.String("key", row.Key), slog.Any("error", err))
 			continue
 		}
-		if strings.TrimPrefix(row.Key, prefix) != d.Instance {
-			addresses = append(addresses, other.Address)
+		if strings.TrimPrefix(row.Key, prefix) != d.Self {
+			others = append(others, other.Instance)
 		}
 	}
-	if !slices.Equal(addresses, d.Others()) {
-		d.others.Store(&addresses)
-		d.Log.Info("instances_read", slog.Int("others", len(addresses)))
-		d.Sink(addresses)
+	if !slices.Equal(others, d.Others()) {
+		d.others.Store(&others)
+		d.Log.Info("instances_read", slog.Int("others", len(others)))
+		d.Sink(others)
 	}
 	return nil
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -234,11 +234,19 @@
 	if r := p.runs[id]; r != nil && r.state == runStarting {
 		r.at.quarantine(p.now)
 		r.task.avoided = append(r.task.avoided, r.at.ID)
-		p.fire(id, evSilence)
-		r.task.step.stopGang(id.Number)
-		return
 	}
+	p.Unsettled(id)
+}
+
+// Unsettled says that nobody knows whether a start or a stop took effect, for a
+// reason that says nothing of the endpoint.
+func (p *Planner) Unsettled(id jobs.RunID) {
+	r := p.runs[id]
+	starting := r != nil && r.state == runStarting
 	p.fire(id, evSilence)
+	if starting {
+		r.task.step.stopGang(id.Number)
+	}
 }
 
 // StopConfirmed says that the endpoint has taken the stop.
