Let batches of errands wait for the one before; 48 parts; try no domain that is cut off

Change: a batch that finds the sender busy goes with the next one. What was not sent yet when an instance fails is refused, not sent later. Two instances of a domain that do not answer bar the domain. 48 parts, read eight at a time by a successor. Tests: package dispatch, integration/cell (orders that other instances carry).

--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -91,8 +91,8 @@
 // The defaults of settings that the platform does not tell.
 const (
 	// defaultParts spreads the jobs over so many parts that a table that takes
-	// 60 times as long for each write, 0.2 s, still takes 80 jobs a second.
-	defaultParts = 16
+	// 60 times as long for each write, 0.2 s, still takes 250 jobs a second.
+	defaultParts = 48
 	// defaultBurst lets each decision on a request leave its line at the rates
 	// of today's deployments, and bounds what a storm writes.
 	defaultBurst = 500
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,8 +18,9 @@
 	peerTimeout = 400 * time.Millisecond
 	// collectPause is the pause after a call for outcomes that failed.
 	collectPause = 100 * time.Millisecond
-	// senderRing is the number of batches that may wait to be sent.
-	senderRing = 16
+	// senderRing is the number of batches that may wait to be sent: one, while
+	// the one before is on its way.
+	senderRing = 1
 )
 
 // Sink is told what becomes of a remote's errands, on the remote's threads.
@@ -53,17 +55,14 @@
 // Duties returns the duties that call the instance.
 func (r *Remote) Duties() []duty.Runner { return []duty.Runner{r.sender, r.collector} }
 
-// Send hands a batch over, or reports false when too many wait.
+// Send hands a batch over, or reports false while another one waits.
 func (r *Remote) Send(batch []Errand) bool { return r.sender.Offer(batch) }
 
 func (r *Remote) send(batches [][]Errand) time.Duration {
 	if len(batches) == 0 {
 		return duty.Never
 	}
-	all := batches[0]
-	for _, b := range batches[1:] {
-		all = append(all, b...)
-	}
+	all := slices.Concat(batches...)
 	ctx, cancel := context.WithTimeout(r.ctx, peerTimeout)
 	defer cancel()
 	err := r.peers.Call(ctx, r.Address, sendMethod, Batch{Epoch: r.epoch, Errands: all}, &Empty{})
--- a/duty/group.go
+++ b/duty/group.go
@@ -46,5 +46,16 @@
 	g.threads.Go(func() error { return serve(g.ctx) })
 }
 
+// Each calls do for each number below n, at most limit at a time, each on a
+// thread of its own. It returns once all have returned, with the first error.
+func Each(n, limit int, do func(i int) error) error {
+	var threads errgroup.Group
+	threads.SetLimit(limit)
+	for i := range n {
+		threads.Go(func() error { return do(i) })
+	}
+	return threads.Wait()
+}
+
 // Wait waits for all threads of the group and returns the first error.
 func (g *Group) Wait() error { return g.threads.Wait() }
--- a/holder/errands.go
+++ b/holder/errands.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hornbeamworks/hornbeam/dispatch"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/fleet"
@@ -20,6 +18,9 @@
 	remoteTime = 500 * time.Millisecond
 	// remotePause keeps errands from an instance that has not answered.
 	remotePause = 1500 * time.Millisecond
+	// domainBarred is how many instances of a domain fail to answer before none
+	// of the domain is used.
+	domainBarred = 2
 	// expirePeriod is how often errands without an outcome are looked for.
 	expirePeriod = 100 * time.Millisecond
 	// routesPeriod is how often the routes are chosen anew while the number of
@@ -98,29 +99,20 @@
 	return e.remotes[e.routes.For(l.id, l.info.Domain)]
 }
 
-// flush sends what has been handed over since the last time.
+// flush sends what has been handed over. What finds no room, since the batch
+// before is still on its way, goes with the next one.
 func (e *errands) flush(h *Holder) {
 	for _, r := range e.remotes {
 		if len(r.batch) == 0 {
 			continue
 		}
-		batch := r.batch
-		r.batch = nil
-		if !r.Send(batch) {
-			e.fail(h, r, idsOf(batch), false, eris.New("too many batches wait"))
+		if r.Send(r.batch) {
+			r.batch = nil
 		}
 	}
 	e.route(h)
 }
 
-func idsOf(batch []dispatch.Errand) []uint64 {
-	ids := make([]uint64, 0, len(batch))
-	for _, errand := range batch {
-		ids = append(ids, errand.ID)
-	}
-	return ids
-}
-
 // route chooses anew through which instances endpoints are called, when the
 // instances or the endpoints have changed.
 func (e *errands) route(h *Holder) {
@@ -132,15 +124,11 @@
 	if len(h.cell.links) <= h.DirectEndpoints {
 		return
 	}
-	able := slices.DeleteFunc(slices.Clone(e.instances), func(i instances.Instance) bool {
-		r := e.remotes[i.Address]
-		return r != nil && h.now.Before(r.barred)
-	})
 	inDomain := map[model.DomainName]int{}
 	for _, l := range h.cell.links {
 		inDomain[l.info.Domain]++
 	}
-	e.routes = dispatch.NewRoutes(able, inDomain)
+	e.routes = dispatch.NewRoutes(e.able(h), inDomain)
 	for _, address := range e.routes.Addresses() {
 		e.ensure(h, address)
 	}
@@ -148,6 +136,24 @@
 		slog.Any("instances", e.routes.Addresses()))
 }
 
+// able returns the instances that errands may go through. A domain of which
+// several do not answer is cut off, as its endpoints are: none of it is tried.
+func (e *errands) able(h *Holder) []instances.Instance {
+	barred := map[model.DomainName]int{}
+	isBarred := func(i instances.Instance) bool {
+		r := e.remotes[i.Address]
+		return r != nil && h.now.Before(r.barred)
+	}
+	for _, i := range e.instances {
+		if isBarred(i) {
+			barred[i.Domain]++
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(e.instances), func(i instances.Instance) bool {
+		return isBarred(i) || barred[i.Domain] >= domainBarred
+	})
+}
+
 func (e *errands) ensure(h *Holder, address string) {
 	if e.remotes[address] != nil {
 		return
@@ -212,6 +218,10 @@
 	for _, id := range list {
 		unseen[id] = !sent
 	}
+	for _, errand := range r.batch {
+		unseen[errand.ID] = true
+	}
+	r.batch = nil
 	for id, p := range e.pending {
 		if p.by == r {
 			delete(e.pending, id)
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -21,6 +21,8 @@
 	// scanTimeout bounds the reading of one part: an instance with a link of 10
 	// Mbit/s reads 10 MB in it.
 	scanTimeout = 8 * time.Second
+	// scansAtOnce is the number of parts that are read at the same time.
+	scansAtOnce = 8
 	// restorePause is the pause after a try that failed.
 	restorePause = 150 * time.Millisecond
 	// jobsPause is the least time between two calls of the jobs' feed: jobs
@@ -308,12 +310,18 @@
 }
 
 func (r *restorer) readJobs(found *restored) error {
-	for _, prefix := range r.parts.Prefixes(JobsTable) {
-		rows, err := r.scan(prefix)
-		if err != nil {
-			return err
-		}
-		if found.from == 0 {
+	prefixes := r.parts.Prefixes(JobsTable)
+	parts := make([]storage.Snapshot, len(prefixes))
+	err := duty.Each(len(prefixes), scansAtOnce, func(i int) error {
+		var err error
+		parts[i], err = r.scan(prefixes[i])
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for _, rows := range parts {
+		if found.from == 0 || rows.Version < found.from {
 			found.from = rows.Version
 		}
 		for _, row := range rows.Rows {
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -48,6 +48,19 @@
 // StartSite starts nodes and endpoints whose tasks take the given time, and
 // waits until the nodes take connections.
 func StartSite(nodes, endpoints int, work time.Duration) *Site {
+	return startSite(nodes, endpoints, work, directEndpoints)
+}
+
+// StartDispatchingSite does the same where the holder calls no endpoint itself
+// as long as another instance does.
+func StartDispatchingSite(nodes, endpoints int, work time.Duration) *Site {
+	return startSite(nodes, endpoints, work, 0)
+}
+
+// directEndpoints is more endpoints than a test has.
+const directEndpoints = 100
+
+func startSite(nodes, endpoints int, work time.Duration, direct int) *Site {
 	table, stop := platformtest.NewTable()
 	ginkgo.DeferCleanup(stop)
 	advice, stopAdvice := platformtest.NewAdvice()
@@ -63,7 +76,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(os.RemoveAll, dir)
 	for i := range nodes {
-		s.Nodes = append(s.Nodes, startNode(dir, i, table.Address, advice))
+		s.Nodes = append(s.Nodes, startNode(dir, i, table.Address, advice, direct))
 	}
 	for _, n := range s.Nodes {
 		n.waitReady()
@@ -71,7 +84,7 @@
 	return s
 }
 
-func startNode(dir string, number int, table, advice string) *Node {
+func startNode(dir string, number int, table, advice string, direct int) *Node {
 	var ports []string
 	for range nodePorts {
 		ports = append(ports, freeAddress())
@@ -80,8 +93,8 @@
 		Front: ports[0], waits: duty.NewGroup(context.Background()), file: filepath.Join(dir, fmt.Sprintf("node%d.ini", number)), log: filepath.Join(dir, fmt.Sprintf("node%d.log", number)),
 	}
 	text := fmt.Sprintf("[node]\nname = node%d\ndomain = north\n\n[listen]\nfront = %s\nready = %s\npeers = %s\nmetrics = %s\n\n"+
-		"[table]\naddress = %s\nacross = true\n\n[advice]\naddress = %s\n\n[cell]\nmax_lease = 10s\n\n"+
-		"[drain]\nlinger = 300ms\n\n[runtime]\ncpu_share = 1\nmemory = 256\n", number, ports[0], ports[1], ports[2], ports[3], table, advice)
+		"[table]\naddress = %s\nacross = true\n\n[advice]\naddress = %s\n\n[cell]\nmax_lease = 10s\ndirect_endpoints = %d\n\n"+
+		"[drain]\nlinger = 300ms\n\n[runtime]\ncpu_share = 1\nmemory = 256\n", number, ports[0], ports[1], ports[2], ports[3], table, advice, direct)
 	gomega.Expect(os.WriteFile(n.file, []byte(text), 0o600)).To(gomega.Succeed())
 	n.Start()
 	ginkgo.DeferCleanup(n.end)
