Give up a peer's connection that has gone silent; stop nothing for a task that it comes too late for

Cause: a call of a peer that got no reply left its connection in use. A connection that has gone silent for good, while new ones work, took every later call down with it: advice, the relay to the table and now orders, until the kernel gave up after minutes. Test: peerrpc, connects again when its connection has gone silent (5 s without an answer before).

Change: a call that is given up after 300 ms or more closes the connection if nothing has come on it since. Single tasks stop others only if the stop, by the platform's bound, is over before they have to start.

--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -115,7 +115,7 @@
 	s := n.settings
 	n.holder = holder.New(n.ctx, holder.Settings{
 		Node: s.Node.Name, Parts: holder.Parts(s.Table.Parts), MaxLease: s.Cell.MaxLease,
-		DirectEndpoints: s.Cell.DirectEndpoints,
+		StopTime: s.Cell.StopTime, DirectEndpoints: s.Cell.DirectEndpoints,
 	}, holder.Outside{
 		Table: n.relayed, Registry: platform.Source{}, Command: n.endpoints, Advice: n.asker,
 		Instances: n.directory.Others, Peers: callers,
--- a/cmd/hornbeam-node/settings.go
+++ b/cmd/hornbeam-node/settings.go
@@ -66,6 +66,8 @@
 type cellSection struct {
 	// MaxLease is the longest lease that endpoints grant.
 	MaxLease time.Duration `ini:"max_lease" validate:"min=1s"`
+	// StopTime is what the stop of a task takes at most.
+	StopTime time.Duration `ini:"stop_time" validate:"min=0s"`
 	// DirectEndpoints is the number of endpoints up to which the holder calls
 	// all of them itself.
 	DirectEndpoints int `ini:"direct_endpoints" validate:"min=0"`
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -59,6 +59,8 @@
 	Parts Parts
 	// MaxLease bounds an endpoint's lease.
 	MaxLease time.Duration
+	// StopTime is what the stop of a run takes at most.
+	StopTime time.Duration
 	// DirectEndpoints is the number of endpoints up to which this instance
 	// calls all of them itself.
 	DirectEndpoints int
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -91,6 +91,7 @@
 		consults: newConsults(),
 	}
 	h.cell = c
+	c.planner.SetStopTime(h.StopTime)
 	c.planner.Clock(h.now, h.Wall.Now().UnixMilli())
 	reader := &restorer{table: h.Table, parts: h.Parts, epoch: c.epoch, ctx: ctx, h: h}
 	reader.Duty = duty.NewCalling("restorer", 1, duty.HandlerFunc[struct{}](reader.handle))
--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +26,10 @@
 // dialTimeout bounds the time to connect to a peer.
 const dialTimeout = 500 * time.Millisecond
 
+// silence is how long a connection may bring nothing while a call that has been
+// given up waited for its reply: peers answer within some milliseconds.
+const silence = 300 * time.Millisecond
+
 // Client keeps one connection to each peer that it has called.
 type Client struct {
 	// mu guards connections: callers are the handlers of many requests, and
@@ -39,7 +44,28 @@
 // call that was not sent.
 type link struct {
 	*rpc.Client
-	socket net.Conn
+	socket *socket
+}
+
+// socket notes when bytes last came.
+type socket struct {
+	net.Conn
+	readAt atomic.Int64
+}
+
+// Read implements net.Conn.
+func (s *socket) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	if n > 0 {
+		s.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// silentSince reports whether nothing has come since a call was sent, for so
+// long that the connection is taken as lost.
+func (s *socket) silentSince(sent time.Time) bool {
+	return time.Since(sent) >= silence && s.readAt.Load() < sent.UnixNano()
 }
 
 // NewClient returns a client without connections.
@@ -56,9 +82,13 @@
 	if err != nil {
 		return err
 	}
+	sent := time.Now()
 	call := connection.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		if connection.socket.silentSince(sent) {
+			c.drop(address, connection)
+		}
 		return eris.Wrapf(ErrNoReply, "%s at %s: %v", method, address, ctx.Err())
 	case done := <-call.Done:
 		return c.settle(address, connection, done.Error)
@@ -83,11 +113,12 @@
 		return connection, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 	}
-	return c.keep(address, &link{Client: rpc.NewClient(socket), socket: socket}), nil
+	connected := &socket{Conn: raw}
+	return c.keep(address, &link{Client: rpc.NewClient(connected), socket: connected}), nil
 }
 
 // keep stores a new connection, unless another caller was faster.
--- a/peerrpc/peerrpc_test.go
+++ b/peerrpc/peerrpc_test.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/faultproxy"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
 )
 
@@ -109,6 +110,29 @@
 		Eventually(result).WithTimeout(deadline).Should(Receive(Not(BeNil())))
 	}, SpecTimeout(deadline))
 
+	It("connects again when its connection has gone silent and new ones work", func(ctx SpecContext) {
+		s := serve()
+		defer s.stop()
+		proxies, end := context.WithCancel(ctx)
+		group := duty.NewGroup(proxies)
+		proxy, err := faultproxy.Listen(group, "127.0.0.1:0", s.address, 1)
+		Expect(err).NotTo(HaveOccurred())
+		client := peerrpc.NewClient()
+		var reply string
+		Expect(client.Call(ctx, proxy.Address(), "Echo.Say", "one", &reply)).To(Succeed())
+		proxy.Set(faultproxy.Faults{Up: faultproxy.Direction{Lose: 1}})
+		lost, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		Expect(client.Call(lost, proxy.Address(), "Echo.Say", "two", &reply)).NotTo(Succeed())
+		cancel()
+		proxy.Set(faultproxy.Faults{})
+		short, cancel := context.WithTimeout(ctx, 5*time.Second)
+		Expect(client.Call(short, proxy.Address(), "Echo.Say", "three", new(string))).To(Succeed())
+		cancel()
+		client.Close()
+		end()
+		Expect(group.Wait()).To(Succeed())
+	}, SpecTimeout(deadline))
+
 	It("connects again after the peer has come back", func(ctx SpecContext) {
 		s := serve()
 		client := peerrpc.NewClient()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -96,6 +96,8 @@
 	advisers    int
 	short, long int
 	good        map[jobs.QueueName]*ratio
+	// stopTime is what a stop takes at most.
+	stopTime time.Duration
 }
 
 // New returns a planner that acts as the holder of the epoch.
@@ -115,6 +117,9 @@
 	}
 }
 
+// SetStopTime tells how long a stop takes at most.
+func (p *Planner) SetStopTime(d time.Duration) { p.stopTime = d }
+
 // Clock sets the time of what is told next: now on a steady clock, wall in Unix
 // milliseconds.
 func (p *Planner) Clock(now time.Time, wall int64) { p.now, p.wall = now, wall }
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -28,10 +28,14 @@
 }
 
 // mayStopOthers reports whether the step has waited long enough for others to be
-// stopped: a part of the time that it has.
+// stopped: a part of the time that it has. Single tasks don't wait for a stop
+// that takes longer than the time that is left.
 func (p *Planner) mayStopOthers(s *step) bool {
+	if s.rank.urgency != inTime || !s.Gang && p.now.Add(p.stopTime).After(s.rank.due) {
+		return false
+	}
 	patience := time.Duration(stopPatience * float64(s.rank.due.Sub(s.openedAt)))
-	return s.rank.urgency == inTime && p.now.Sub(s.openedAt) >= patience
+	return p.now.Sub(s.openedAt) >= patience
 }
 
 // yields reports whether the run may be stopped for a step of the priority.
