--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -41,6 +41,7 @@
 	// in a row; barred is when it may be given work again.
 	failures, quarantines int
 	barred                time.Time
+	pace                  pace
 }
 
 var endpointsChart *chart.Machine[endpoint]
@@ -129,7 +130,7 @@
 }
 
 func (e *endpoint) reborn() {
-	e.failures, e.quarantines, e.barred = 0, 0, time.Time{}
+	e.failures, e.quarantines, e.barred, e.pace = 0, 0, time.Time{}, pace{}
 	e.endRuns(evReborn)
 }
 
@@ -283,10 +284,7 @@
 	count int
 }
 
-// ratioWindow is the number of samples over which the average moves.
-const ratioWindow = 20
-
-func (r *ratio) add(sample float64) {
-	r.count = min(r.count+1, ratioWindow)
+func (r *ratio) add(sample float64, window int) {
+	r.count = min(r.count+1, window)
 	r.value += (sample - r.value) / float64(r.count)
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -153,6 +153,13 @@
 	ticketPenalty = 1.0
 	// stopPenalty is for room that is still being given up.
 	stopPenalty = 0.5
+	// slowPenalty is for an endpoint on which tasks take twice as long as usual.
+	slowPenalty = 3.0
+	// slowBonus is the same for work of the last priority, which has the most
+	// time: it leaves faster endpoints to the rest. It ends at slowMost, beyond
+	// the speeds that endpoints differ by when nothing is wrong with them.
+	slowBonus = 0.5
+	slowMost  = 1.4
 )
 
 // score ranks an endpoint for a task: tasks are packed, so that large ones find
@@ -175,7 +182,16 @@
 	if _, valid := s.ticket(e); !valid && len(s.advice.asked) > 0 {
 		score += ticketPenalty
 	}
-	return score
+	return score + p.slowScore(s, e)
+}
+
+// slowScore is the part of the score that comes from the endpoint's pace.
+func (p *Planner) slowScore(s *step, e *endpoint) float64 {
+	slowness := e.slowness(p.now)
+	if s.rank.priority < p.lastPriority || p.lastPriority == 0 {
+		return slowPenalty * (slowness - 1)
+	}
+	return slowPenalty*max(slowness-slowMost, 0) - slowBonus*(min(slowness, slowMost)-1)
 }
 
 // crowded reports whether the endpoint runs as many tasks of the step as it
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -96,6 +96,10 @@
 	advisers    int
 	short, long int
 	good        map[jobs.QueueName]*ratio
+	// lastPriority is that of the least urgent queue.
+	lastPriority int
+	// typical is the time that tasks of a queue take, as a part of the estimate.
+	typical map[jobs.QueueName]*ratio
 	// stopTime is what a stop takes at most.
 	stopTime time.Duration
 }
@@ -114,6 +118,7 @@
 		scheduled: map[*job]bool{},
 		reserved:  map[*run]bool{},
 		good:      map[jobs.QueueName]*ratio{},
+		typical:   map[jobs.QueueName]*ratio{},
 	}
 }
 
@@ -127,6 +132,10 @@
 // SetCatalog takes a configuration in force.
 func (p *Planner) SetCatalog(c *catalog.Catalog) {
 	p.catalog = c
+	p.lastPriority = 0
+	for _, q := range c.Queues {
+		p.lastPriority = max(p.lastPriority, q.Priority)
+	}
 	for _, s := range p.openSteps() {
 		s.ranked = false
 	}
--- a/planner/questions.go
+++ b/planner/questions.go
@@ -26,6 +26,9 @@
 	adviceWiden = 600 * time.Millisecond
 	// goodAtFirst is the share of good endpoints taken before any answer.
 	goodAtFirst = 0.4
+	// goodWindow is the number of answers over which the share of good endpoints
+	// is averaged.
+	goodWindow = 20
 	// ShortQuestion is the cost up to which a question is a short one: two
 	// instances are kept for these.
 	ShortQuestion = 150 * time.Millisecond
@@ -109,7 +112,8 @@
 }
 
 // roomiest returns the endpoints that could run the step and were not asked
-// about, those with most room first, and how many tasks the largest one takes.
+// about, those with most room for its waiting tasks first and of these the
+// fastest, and how many tasks the largest one takes.
 func (p *Planner) roomiest(s *step, size model.Resources, room func(*endpoint) model.Resources) (list []offer, most int) {
 	most = 1
 	for _, e := range p.sortedEndpoints() {
@@ -117,9 +121,15 @@
 			continue
 		}
 		most = max(most, slots(size, e.Capacity))
-		list = append(list, offer{endpoint: e, slots: slots(size, room(e))})
+		n := min(slots(size, room(e)), len(s.pending))
+		list = append(list, offer{endpoint: e, slots: n, score: p.slowScore(s, e)})
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].slots > list[k].slots })
+	sort.SliceStable(list, func(i, k int) bool {
+		if list[i].slots != list[k].slots {
+			return list[i].slots > list[k].slots
+		}
+		return list[i].score < list[k].score
+	})
 	return list, most
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -254,6 +254,9 @@
 	case fleet.Succeeded:
 		result = evTaskSucceed
 		e.noteSuccess()
+		if r != nil {
+			p.notePace(r)
+		}
 	case fleet.RunFailed:
 		result = evTaskFail
 		p.noteFailed(t, e, end.Run.Number)
