Renew the holder's lease through a slow table; repeat its release

No instance held the cell for 5 s.

Change: a renewal after one without an answer has 1.5 s; a call through another instance may take half of its caller's time; candidates wait 3.5 s while the table is slow; a release is tried twice (election: says so when the holder resigns, fails with one try).

--- a/election/election.go
+++ b/election/election.go
@@ -39,14 +39,20 @@
 	// renewed.
 	VacantTime = 1200 * time.Millisecond
 	// slowVacantTime is the same while the table is slow, when a renewal takes
-	// a second; slowCall is what a call takes at least then.
-	slowVacantTime = 2500 * time.Millisecond
+	// a second and may have to be repeated; slowCall is what a call takes at
+	// least then.
+	slowVacantTime = 3500 * time.Millisecond
 	slowCall       = 100 * time.Millisecond
 	// renewPeriod is the time between two renewals: two may fail before a
 	// candidate comes.
 	renewPeriod = 400 * time.Millisecond
 	// callTimeout bounds a call of the table.
 	callTimeout = 700 * time.Millisecond
+	// slowTimeout bounds a renewal after one that got no answer in callTimeout:
+	// a table that takes 90 times as long for a write needs 0.7 s.
+	slowTimeout = 1500 * time.Millisecond
+	// releaseTries is how often a holder that stops tries to say so.
+	releaseTries = 2
 	// watchTime is how long the feed of the lease row waits for a change.
 	watchTime = time.Second
 	// retryPause is the pause after a failed call.
@@ -129,6 +135,8 @@
 	epoch   Epoch
 	epochAt storage.RowVersion
 	renewAt time.Time
+	// slow says that the last renewal got no answer.
+	slow bool
 	sent    time.Time
 	// heldSince is when the instance won.
 	heldSince time.Time
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -156,6 +157,23 @@
 		Consistently(func() int { _, _, elects := small.state(); return elects }, 6*time.Second).Should(Equal(2))
 	})
 
+	It("says so when the holder resigns though the first try fails", func() {
+		a := join(stand, "a", "1")
+		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
+		stand.SetMood(platformtest.Silent)
+		resigned := make(chan struct{})
+		go func() { a.Resign(context.Background()); close(resigned) }()
+		time.Sleep(300 * time.Millisecond)
+		stand.SetMood(platformtest.Serving)
+		Eventually(resigned, patience).Should(BeClosed())
+		Expect(holders(a)).To(BeZero())
+		row, err := platform.NewTable(stand.Address, true).Get(context.Background(), election.LeaseKey)
+		Expect(err).NotTo(HaveOccurred())
+		var lease election.Lease
+		Expect(json.Unmarshal(row.Value, &lease)).To(Succeed())
+		Expect(lease.Released).To(BeTrue())
+	})
+
 	It("keeps the holder while answers to its renewals are lost", func() {
 		a := join(stand, "a", "1")
 		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
--- a/election/holding.go
+++ b/election/holding.go
@@ -105,6 +105,7 @@
 		return 0
 	}
 	err := e.writeLease(e.ctx, false)
+	e.slow = eris.Is(err, storage.ErrUnavailable)
 	switch {
 	case err == nil:
 		e.Listener.Renewed(now.Add(LeaseTime))
@@ -118,15 +119,29 @@
 	return max(e.renewAt.Sub(e.Clock.Now()), 0)
 }
 
+// release tells candidates that they may claim at once. A write without an answer
+// is repeated: without it they wait for seconds while the table is slow.
 func (e *Election) release() {
 	e.Listener.Deposed()
-	if err := e.writeLease(context.WithoutCancel(e.ctx), true); err != nil {
+	e.slow = true
+	for range releaseTries {
+		err := e.writeLease(context.WithoutCancel(e.ctx), true)
+		if err == nil {
+			return
+		}
 		e.Log.Warn("lease_not_released", slog.Uint64("epoch", e.epoch.Epoch), slog.Any("error", err))
+		if eris.Is(err, storage.ErrConflict) {
+			return
+		}
 	}
 }
 
 func (e *Election) writeLease(parent context.Context, released bool) error {
-	ctx, cancel := context.WithTimeout(parent, callTimeout)
+	timeout := callTimeout
+	if e.slow {
+		timeout = slowTimeout
+	}
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	e.lease.Renewals++
 	e.lease.Released = released
--- a/planner/place.go
+++ b/planner/place.go
@@ -154,12 +154,10 @@
 	// stopPenalty is for room that is still being given up.
 	stopPenalty = 0.5
 	// slowPenalty is for an endpoint on which tasks take twice as long as usual.
-	slowPenalty = 3.0
-	// slowBonus is the same for work of the last priority, which has the most
-	// time: it leaves faster endpoints to the rest. It ends at slowMost, beyond
-	// the speeds that endpoints differ by when nothing is wrong with them.
-	slowBonus = 0.5
-	slowMost  = 1.4
+	// Work that has time, and gangs, which need the room, count only what is
+	// beyond slowMost: more than endpoints differ by when nothing is wrong.
+	slowPenalty = 2.0
+	slowMost    = 1.4
 )
 
 // score ranks an endpoint for a task: tasks are packed, so that large ones find
@@ -188,10 +186,10 @@
 // slowScore is the part of the score that comes from the endpoint's pace.
 func (p *Planner) slowScore(s *step, e *endpoint) float64 {
 	slowness := e.slowness(p.now)
-	if s.rank.priority < p.lastPriority || p.lastPriority == 0 {
-		return slowPenalty * (slowness - 1)
+	if s.Gang || s.rank.priority == p.lastPriority {
+		return slowPenalty * max(slowness-slowMost, 0)
 	}
-	return slowPenalty*max(slowness-slowMost, 0) - slowBonus*(min(slowness, slowMost)-1)
+	return slowPenalty * (slowness - 1)
 }
 
 // crowded reports whether the endpoint runs as many tasks of the step as it
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,7 +20,8 @@
 const (
 	// peersTried bounds the instances that are asked for one call.
 	peersTried = 3
-	// callTimeout bounds a call through one instance beyond its wait.
+	// callTimeout is allowed for a call through one instance beyond its wait;
+	// half of the caller's time, if that is more, since the table may be slow.
 	callTimeout = 500 * time.Millisecond
 	// watchTime bounds the wait of a feed's call through another instance.
 	watchTime = 400 * time.Millisecond
@@ -115,7 +116,7 @@
 	for range min(peersTried, len(others)) {
 		at := t.next.Load()
 		var reply Reply
-		inner, cancel := context.WithTimeout(ctx, r.Wait+callTimeout)
+		inner, cancel := context.WithTimeout(ctx, r.Wait+callTime(ctx))
 		err := t.peers.Call(inner, others[int(at)%len(others)], doMethod, r, &reply)
 		cancel()
 		if err == nil {
@@ -135,6 +136,15 @@
 	return Reply{}, storage.ErrRefused
 }
 
+// callTime returns how long a call through one instance may take.
+func callTime(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return callTimeout
+	}
+	return max(callTimeout, time.Until(deadline)/2)
+}
+
 // settled reports whether the error is the table's own answer.
 func settled(err error) bool {
 	return eris.Is(err, storage.ErrConflict) || eris.Is(err, storage.ErrNotFound) || eris.Is(err, storage.ErrHistoryGone)
