--- a/election/election.go
+++ b/election/election.go
@@ -137,7 +137,7 @@
 	renewAt time.Time
 	// slow says that the last renewal got no answer.
 	slow bool
-	sent    time.Time
+	sent time.Time
 	// heldSince is when the instance won.
 	heldSince time.Time
 	// claimAt is when to claim; deferred says that larger instances have been
