A fault soak; keep runs that a new life of an endpoint may have taken; a late reply touches nothing

- An endpoint restarts, a start reaches its new life before the holder learns of it, and is confirmed.
At the news the run counted as gone and the task was started elsewhere: two runs at once.

--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/faultproxy"
 	"github.com/hornbeamworks/hornbeam/platform/platformtest"
 )
 
@@ -61,6 +62,25 @@
 const directEndpoints = 100
 
 func startSite(nodes, endpoints int, work time.Duration, direct int) *Site {
+	return startSiteThrough(nodes, endpoints, work, direct, func(table string) string { return table })
+}
+
+// StartFaultySite does the same where each node reaches the table through a
+// proxy of its own, and half of the sites call endpoints through other instances.
+func StartFaultySite(group *duty.Group, nodes, endpoints int, work time.Duration, seed uint64) (*Site, []*faultproxy.Proxy) {
+	var proxies []*faultproxy.Proxy
+	s := startSiteThrough(nodes, endpoints, work, directEndpoints*int(seed%2), func(table string) string {
+		proxy, err := faultproxy.Listen(group, "127.0.0.1:0", table, seed)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		proxies = append(proxies, proxy)
+		return proxy.Address()
+	})
+	return s, proxies
+}
+
+// startSiteThrough starts a site whose nodes reach the table at the address that
+// through returns.
+func startSiteThrough(nodes, endpoints int, work time.Duration, direct int, through func(table string) string) *Site {
 	table, stop := platformtest.NewTable()
 	ginkgo.DeferCleanup(stop)
 	advice, stopAdvice := platformtest.NewAdvice()
@@ -76,7 +96,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(os.RemoveAll, dir)
 	for i := range nodes {
-		s.Nodes = append(s.Nodes, startNode(dir, i, table.Address, advice, direct))
+		s.Nodes = append(s.Nodes, startNode(dir, i, through(table.Address), advice, direct))
 	}
 	for _, n := range s.Nodes {
 		n.waitReady()
--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,16 +75,17 @@
 }
 
 // Call calls the method of the peer at address and fills reply. It returns
-// ErrNotSent, ErrNoReply, or the error that the method returned. A reply that
-// comes after ctx has ended is dropped, so reply is not touched later: the
-// caller must not reuse reply after an error.
+// ErrNotSent, ErrNoReply, or the error that the method returned. reply, a pointer,
+// is written only when the call succeeds: net/rpc decodes a reply that comes after
+// ctx has ended into a value of its own.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	connection, err := c.connect(ctx, address)
 	if err != nil {
 		return err
 	}
 	sent := time.Now()
-	call := connection.Go(method, args, reply, make(chan *rpc.Call, 1))
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := connection.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		if connection.socket.silentSince(sent) {
@@ -91,6 +93,9 @@
 		}
 		return eris.Wrapf(ErrNoReply, "%s at %s: %v", method, address, ctx.Err())
 	case done := <-call.Done:
+		if done.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return c.settle(address, connection, done.Error)
 	}
 }
--- a/peerrpc/peerrpc_test.go
+++ b/peerrpc/peerrpc_test.go
@@ -110,6 +110,20 @@
 		Eventually(result).WithTimeout(deadline).Should(Receive(Not(BeNil())))
 	}, SpecTimeout(deadline))
 
+	It("leaves the reply alone that comes after the call was given up", func(ctx SpecContext) {
+		s := serve()
+		defer s.stop()
+		client := peerrpc.NewClient()
+		defer client.Close()
+		Expect(client.Call(ctx, s.address, "Echo.Say", "word", new(string))).To(Succeed())
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		var late string
+		Expect(client.Call(short, s.address, "Echo.Hang", "word", &late)).NotTo(Succeed())
+		close(s.echo.release)
+		Consistently(func() string { return late }, 300*time.Millisecond).Should(BeEmpty())
+	}, SpecTimeout(deadline))
+
 	It("connects again when its connection has gone silent and new ones work", func(ctx SpecContext) {
 		s := serve()
 		defer s.stop()
--- a/planner/run.go
+++ b/planner/run.go
@@ -43,7 +43,7 @@
 
 func init() {
 	runsChart = chart.MustBind(charts.MustLoad("cell_run"),
-		chart.Guards[run]{},
+		chart.Guards[run]{"listed": func(r *run) bool { return r.listing > 0 }},
 		chart.Actions[run]{
 			"order_start": (*run).orderStart,
 			"order_stop":  (*run).orderStop,
