--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 DEPLOYMENT ?= consortium
 DURATION ?= 10s
 
-.PHONY: build demo capacity test check unit bench clean
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 15
+
+.PHONY: soak build demo capacity test check unit bench clean
 
 build:
 	@mkdir -p bin
@@ -28,6 +32,9 @@
 unit:
 	$(GO) test -race -count=1 -timeout 8m ./...
 
+soak:
+	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -timeout 2h ./integration/soak
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/client/caller.go
+++ b/client/caller.go
@@ -51,21 +51,21 @@
 // Entry returns the client of one entry instance, picked at random.
 func (c *Caller) Entry() *Client { return c.entries[rand.IntN(len(c.entries))] }
 
-// errand is one request on its way; it is the subject of caller.scxml.
-type errand struct {
+// command is one request on its way; it is the subject of caller.scxml.
+type command struct {
 	state      chart.State
 	conclusion Conclusion
 	pause      *backoff.ExponentialBackOff
 }
 
-func newErrand() *errand {
-	e := &errand{pause: newPause()}
+func newCommand() *command {
+	e := &command{pause: newPause()}
 	life.Start(&e.state, e)
 	return e
 }
 
 // life is the chart of a careful caller's request.
-var life = chart.MustBind(charts.MustLoad("caller"), chart.Guards[errand]{}, chart.Actions[errand]{})
+var life = chart.MustBind(charts.MustLoad("caller"), chart.Guards[command]{}, chart.Actions[command]{})
 
 // The events of a request, and the states in which it is handed in.
 var (
@@ -113,7 +113,7 @@
 }
 
 func (c *Caller) handIn(ctx context.Context, key model.IdempotencyKey, spec model.Spec, until chart.StateSet) Conclusion {
-	e := newErrand()
+	e := newCommand()
 	return c.run(ctx, e, until, func() (model.Answer, error) {
 		if submitting.Has(e.state) {
 			return c.Entry().Submit(ctx, key, spec, c.wait)
@@ -125,7 +125,7 @@
 // Wait asks for the answer to an accepted request until it is answered or ctx
 // ends.
 func (c *Caller) Wait(ctx context.Context, id model.RequestID) Conclusion {
-	e := newErrand()
+	e := newCommand()
 	e.conclusion.ID = id
 	life.Fire(&e.state, evPending, e)
 	return c.run(ctx, e, answered, func() (model.Answer, error) {
@@ -149,8 +149,8 @@
 // Final reports whether an answer ends its request.
 func Final(answer model.Answer) bool { return classify(answer, nil) == evFinal }
 
-// run makes calls until the errand is over or has come to one of the states.
-func (c *Caller) run(ctx context.Context, e *errand, until chart.StateSet, step func() (model.Answer, error)) Conclusion {
+// run makes calls until the command is over or has come to one of the states.
+func (c *Caller) run(ctx context.Context, e *command, until chart.StateSet, step func() (model.Answer, error)) Conclusion {
 	for !life.Final(e.state) && !until.Has(e.state) {
 		answer, err := step()
 		event := classify(answer, err)
@@ -171,7 +171,7 @@
 }
 
 // note fires the event and keeps what was learned.
-func (e *errand) note(event chart.Event, answer model.Answer, err error) {
+func (e *command) note(event chart.Event, answer model.Answer, err error) {
 	e.conclusion.Calls++
 	if err != nil {
 		e.conclusion.Lost++
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -21,7 +21,7 @@
 	sendMethod    = serviceName + ".Send"
 	collectMethod = serviceName + ".Collect"
 	// agentRing is the number of messages that may wait for the agent: batches
-	// of errands and the ends of calls.
+	// of commands and the ends of calls.
 	agentRing = 1024
 	// gatherTime is how long outcomes are gathered before they are handed back.
 	gatherTime = 8 * time.Millisecond
@@ -33,10 +33,10 @@
 // errOvertaken means that the agent follows a later epoch.
 var errOvertaken = eris.New("the agent follows a later epoch")
 
-// Batch are the errands of a holder.
+// Batch are the commands of a holder.
 type Batch struct {
-	Epoch   uint64
-	Errands []Errand
+	Epoch    uint64
+	Commands []Command
 }
 
 // Request asks for outcomes.
@@ -55,7 +55,7 @@
 // agentMessage is what the agent's duty is told.
 type agentMessage interface{ apply(a *Agent) }
 
-// Agent is the duty that carries errands for the holder of the cell.
+// Agent is the duty that carries commands for the holder of the cell.
 type Agent struct {
 	*duty.Duty[agentMessage]
 	ctx     context.Context
@@ -105,7 +105,7 @@
 	return duty.Never
 }
 
-// follow takes the errands of an epoch; those of an earlier one are given up.
+// follow takes the commands of an epoch; those of an earlier one are given up.
 func (a *Agent) follow(epoch uint64) bool {
 	if epoch < a.epoch {
 		return false
@@ -137,7 +137,7 @@
 	}
 }
 
-// batchMessage are errands to be carried.
+// batchMessage are commands to be carried.
 type batchMessage struct {
 	Batch
 	reply chan error
@@ -148,7 +148,7 @@
 		m.reply <- errOvertaken
 		return
 	}
-	for _, e := range m.Errands {
+	for _, e := range m.Commands {
 		if !a.carrier.Carry(e) {
 			a.add(Outcome{ID: e.ID, Code: Refused, Reason: "too many calls are under way"})
 		}
@@ -195,7 +195,7 @@
 // service is the net/rpc service.
 type service struct{ agent *Agent }
 
-// Send takes a batch of errands.
+// Send takes a batch of commands.
 func (s *service) Send(batch Batch, _ *Empty) error {
 	m := batchMessage{Batch: batch, reply: make(chan error, 1)}
 	if err := s.agent.Put(s.agent.ctx, m); err != nil {
--- a/dispatch/carrier.go
+++ b/dispatch/carrier.go
@@ -15,16 +15,16 @@
 const maxLanes = 768
 
 // lane is a duty that makes one call at a time.
-type lane struct{ *duty.Duty[Errand] }
+type lane struct{ *duty.Duty[Command] }
 
-// Done is an errand that has ended.
+// Done is a command that has ended.
 type Done struct {
 	Outcome
 	lane *lane
 }
 
-// Carrier makes the calls of errands. It belongs to one duty, which is told of
-// each errand's end and passes it to Settle.
+// Carrier makes the calls of commands. It belongs to one duty, which is told of
+// each command's end and passes it to Settle.
 type Carrier struct {
 	ctx     context.Context
 	command fleet.Commander
@@ -40,8 +40,8 @@
 	return &Carrier{ctx: ctx, command: command, start: start, done: done}
 }
 
-// Carry makes the errand's call, or reports false when too many are under way.
-func (c *Carrier) Carry(e Errand) bool {
+// Carry makes the command's call, or reports false when too many are under way.
+func (c *Carrier) Carry(e Command) bool {
 	if len(c.idle) == 0 && !c.addLane() {
 		return false
 	}
@@ -53,7 +53,7 @@
 	return true
 }
 
-// Settle takes back what an errand has used.
+// Settle takes back what a command has used.
 func (c *Carrier) Settle(d Done) { c.idle = append(c.idle, d.lane) }
 
 func (c *Carrier) addLane() bool {
@@ -61,7 +61,7 @@
 		return false
 	}
 	l := &lane{}
-	l.Duty = duty.NewCalling("carrier"+strconv.Itoa(c.lanes), 1, duty.HandlerFunc[Errand](func(batch []Errand) time.Duration {
+	l.Duty = duty.NewCalling("carrier"+strconv.Itoa(c.lanes), 1, duty.HandlerFunc[Command](func(batch []Command) time.Duration {
 		for _, e := range batch {
 			c.done(Done{Outcome: c.call(e), lane: l})
 		}
@@ -74,7 +74,7 @@
 }
 
 // call makes one call on a lane's thread.
-func (c *Carrier) call(e Errand) Outcome {
+func (c *Carrier) call(e Command) Outcome {
 	ctx, cancel := context.WithTimeout(c.ctx, e.Timeout())
 	defer cancel()
 	switch {
--- a/dispatch/errand.go
+++ b/dispatch/command.go
@@ -19,9 +19,9 @@
 	ListTimeout = 600 * time.Millisecond
 )
 
-// Errand is one call of an endpoint; one of its orders is set.
-type Errand struct {
-	// ID numbers the errands of one epoch.
+// Command is one call of an endpoint; one of its orders is set.
+type Command struct {
+	// ID numbers the commands of one epoch.
 	ID    uint64
 	Start *fleet.Start
 	Stop  *fleet.Stop
@@ -29,7 +29,7 @@
 }
 
 // Timeout returns how long the call may take.
-func (e Errand) Timeout() time.Duration {
+func (e Command) Timeout() time.Duration {
 	if e.Renew != nil {
 		return e.Renew.Wait + ListTimeout
 	}
@@ -37,7 +37,7 @@
 }
 
 // Target returns the endpoint that is called.
-func (e Errand) Target() fleet.Target {
+func (e Command) Target() fleet.Target {
 	switch {
 	case e.Start != nil:
 		return e.Start.Target
@@ -48,7 +48,7 @@
 	}
 }
 
-// Code says how an errand ended; it stands for an error of package fleet.
+// Code says how a command ended; it stands for an error of package fleet.
 type Code uint8
 
 // The codes.
@@ -76,7 +76,7 @@
 	NoAnswer:      fleet.ErrNoAnswer,
 }
 
-// Outcome is what came of an errand.
+// Outcome is what came of a command.
 type Outcome struct {
 	ID   uint64
 	Code Code
@@ -86,7 +86,7 @@
 	Listing fleet.Listing
 }
 
-// outcomeOf returns the outcome of the errand that ended with err.
+// outcomeOf returns the outcome of the command that ended with err.
 func outcomeOf(id uint64, listing fleet.Listing, err error) Outcome {
 	if err == nil {
 		return Outcome{ID: id, Listing: listing}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -139,16 +139,16 @@
 	return r, c
 }
 
-func start(id uint64, at model.EndpointID) dispatch.Errand {
-	return dispatch.Errand{ID: id, Start: &fleet.Start{Target: fleet.Target{ID: at}, Run: jobs.RunID{Number: int(id)}, Spec: "work"}}
+func start(id uint64, at model.EndpointID) dispatch.Command {
+	return dispatch.Command{ID: id, Start: &fleet.Start{Target: fleet.Target{ID: at}, Run: jobs.RunID{Number: int(id)}, Spec: "work"}}
 }
 
-var _ = Describe("An instance that carries errands", func() {
+var _ = Describe("An instance that carries commands", func() {
 	It("makes the calls and hands back what came of them", func() {
 		command := &endpoints{}
 		r, c := join(serve(command), 4)
-		renew := dispatch.Errand{ID: 3, Renew: &fleet.Renewal{Target: fleet.Target{ID: "e"}, Epoch: 4}}
-		Expect(r.Send([]dispatch.Errand{start(1, "e"), start(2, "fenced"), renew})).To(BeTrue())
+		renew := dispatch.Command{ID: 3, Renew: &fleet.Renewal{Target: fleet.Target{ID: "e"}, Epoch: 4}}
+		Expect(r.Send([]dispatch.Command{start(1, "e"), start(2, "fenced"), renew})).To(BeTrue())
 		for _, id := range []uint64{1, 2, 3} {
 			Eventually(func() bool { _, found := c.outcome(id)(); return found }, patience).Should(BeTrue())
 		}
@@ -163,7 +163,7 @@
 
 	It("does not let an endpoint that is silent hold up the others", func() {
 		r, c := join(serve(&endpoints{}), 1)
-		Expect(r.Send([]dispatch.Errand{start(1, "mute"), start(2, "e")})).To(BeTrue())
+		Expect(r.Send([]dispatch.Command{start(1, "mute"), start(2, "e")})).To(BeTrue())
 		began := time.Now()
 		Eventually(func() bool { _, found := c.outcome(2)(); return found }, patience).Should(BeTrue())
 		Expect(time.Since(began)).To(BeNumerically("<", dispatch.OrderTimeout))
@@ -176,20 +176,20 @@
 		command := &endpoints{}
 		address := serve(command)
 		r, c := join(address, 5)
-		Expect(r.Send([]dispatch.Errand{start(1, "e")})).To(BeTrue())
+		Expect(r.Send([]dispatch.Command{start(1, "e")})).To(BeTrue())
 		Eventually(func() bool { _, found := c.outcome(1)(); return found }, patience).Should(BeTrue())
 		former, lost := join(address, 4)
-		Expect(former.Send([]dispatch.Errand{start(9, "e")})).To(BeTrue())
+		Expect(former.Send([]dispatch.Command{start(9, "e")})).To(BeTrue())
 		Eventually(lost.failures, patience).Should(ConsistOf(uint64(9)))
 		Expect(command.started()).To(Equal(1))
 	})
 
-	It("has not seen the errands when it can't be reached", func() {
+	It("has not seen the commands when it can't be reached", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(listener.Close()).To(Succeed())
 		r, c := join(listener.Addr().String(), 1)
-		Expect(r.Send([]dispatch.Errand{start(1, "e")})).To(BeTrue())
+		Expect(r.Send([]dispatch.Command{start(1, "e")})).To(BeTrue())
 		Eventually(c.failures, patience).Should(ConsistOf(uint64(1)))
 		Expect(c.sent).To(BeFalse())
 	})
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -23,16 +23,16 @@
 	senderRing = 1
 )
 
-// Sink is told what becomes of a remote's errands, on the remote's threads.
+// Sink is told what becomes of a remote's commands, on the remote's threads.
 type Sink interface {
 	// Collected hands over outcomes.
 	Collected(r *Remote, outcomes []Outcome)
-	// Failed says that the instance does not answer. The errands are those of a
+	// Failed says that the instance does not answer. The commands are those of a
 	// batch that failed; sent is false if the instance has not seen them.
-	Failed(r *Remote, errands []uint64, sent bool, err error)
+	Failed(r *Remote, commands []uint64, sent bool, err error)
 }
 
-// Remote is another instance that carries errands for one epoch.
+// Remote is another instance that carries commands for one epoch.
 type Remote struct {
 	// Address is its peer address.
 	Address   string
@@ -40,14 +40,14 @@
 	peers     *peerrpc.Client
 	epoch     uint64
 	sink      Sink
-	sender    *duty.Duty[[]Errand]
+	sender    *duty.Duty[[]Command]
 	collector *duty.Duty[struct{}]
 }
 
 // NewRemote returns the instance at the peer address; its calls end with ctx.
 func NewRemote(ctx context.Context, peers *peerrpc.Client, address string, epoch uint64, sink Sink) *Remote {
 	r := &Remote{Address: address, ctx: ctx, peers: peers, epoch: epoch, sink: sink}
-	r.sender = duty.NewCalling("errands", senderRing, duty.HandlerFunc[[]Errand](r.send))
+	r.sender = duty.NewCalling("commands", senderRing, duty.HandlerFunc[[]Command](r.send))
 	r.collector = duty.NewCalling("outcomes", 1, duty.HandlerFunc[struct{}](r.collect))
 	return r
 }
@@ -56,16 +56,16 @@
 func (r *Remote) Duties() []duty.Runner { return []duty.Runner{r.sender, r.collector} }
 
 // Send hands a batch over, or reports false while another one waits.
-func (r *Remote) Send(batch []Errand) bool { return r.sender.Offer(batch) }
+func (r *Remote) Send(batch []Command) bool { return r.sender.Offer(batch) }
 
-func (r *Remote) send(batches [][]Errand) time.Duration {
+func (r *Remote) send(batches [][]Command) time.Duration {
 	if len(batches) == 0 {
 		return duty.Never
 	}
 	all := slices.Concat(batches...)
 	ctx, cancel := context.WithTimeout(r.ctx, peerTimeout)
 	defer cancel()
-	err := r.peers.Call(ctx, r.Address, sendMethod, Batch{Epoch: r.epoch, Errands: all}, &Empty{})
+	err := r.peers.Call(ctx, r.Address, sendMethod, Batch{Epoch: r.epoch, Commands: all}, &Empty{})
 	if err != nil {
 		ids := make([]uint64, 0, len(all))
 		for _, e := range all {
--- a/holder/consult.go
+++ b/holder/consult.go
@@ -201,7 +201,7 @@
 func (m instancesMessage) apply(h *Holder) {
 	if actingStates.Has(h.state) {
 		h.cell.consults.setInstances(h, m.others)
-		h.cell.errands.setInstances(m.others)
+		h.cell.commands.setInstances(m.others)
 	}
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -123,7 +123,7 @@
 	inOrder []*link
 	// roster are the endpoints that a successor has to list.
 	roster   map[model.EndpointID]rosterEntry
-	errands  *errands
+	commands *commands
 	consults *consults
 	recorder *recorder
 	cleaner  *cleaner
@@ -202,7 +202,7 @@
 // drive does what is due and returns when to be called again.
 func (h *Holder) drive() time.Duration {
 	c := h.cell
-	c.errands.expire(h)
+	c.commands.expire(h)
 	h.serveLinks()
 	h.retryStops()
 	if h.mayAct() && h.decideDue() {
@@ -213,7 +213,7 @@
 	}
 	h.carryOut(c.planner.Take())
 	c.consults.dispatch(h)
-	c.errands.flush(h)
+	c.commands.flush(h)
 	h.publishQueues()
 	c.recorder.flush(h)
 	h.logStats()
--- a/holder/links.go
+++ b/holder/links.go
@@ -76,7 +76,7 @@
 	}
 	c.links[id] = l
 	c.inOrder = nil
-	c.errands.stale = true
+	c.commands.stale = true
 	return l
 }
 
@@ -129,7 +129,7 @@
 	if l.seen != l.forget || l.clock == 0 {
 		order.Wait = 0
 	}
-	l.busy = h.errand(l, dispatch.Errand{Renew: &order})
+	l.busy = h.command(l, dispatch.Command{Renew: &order})
 }
 
 func (l *link) target() fleet.Target { return fleet.Target{ID: l.id, Address: l.address} }
@@ -169,7 +169,7 @@
 	c := h.cell
 	delete(c.links, l.id)
 	c.inOrder = nil
-	c.errands.stale = true
+	c.commands.stale = true
 	if _, listed := c.roster[l.id]; listed {
 		delete(c.roster, l.id)
 		c.recorder.rosterChanged = true
@@ -243,7 +243,7 @@
 // stopStranger stops a run that belongs to no job.
 func (h *Holder) stopStranger(l *link, run jobs.RunID) {
 	h.Log.Warn("unknown_run", slog.String("id", string(run.Task.Job)), slog.String("run", run.String()), slog.String("endpoint", string(l.id)))
-	h.errand(l, dispatch.Errand{Stop: &fleet.Stop{Target: l.target(), Run: run, Epoch: h.cell.epoch}})
+	h.command(l, dispatch.Command{Stop: &fleet.Stop{Target: l.target(), Run: run, Epoch: h.cell.epoch}})
 }
 
 // registryMessage are changes of the endpoints' entries.
@@ -301,7 +301,7 @@
 	if info.Born > l.born && l.born > 0 {
 		l.newLife(info.Born)
 	}
-	c.errands.stale = c.errands.stale || l.info.Domain != info.Domain
+	c.commands.stale = c.commands.stale || l.info.Domain != info.Domain
 	l.info, l.address, l.missing = info, info.Address, time.Time{}
 	c.planner.SetEndpoint(info)
 	if _, known := c.roster[info.ID]; !known {
--- a/holder/orders.go
+++ b/holder/orders.go
@@ -27,7 +27,7 @@
 		h.cell.planner.Refused(s.Run, fleet.ErrRefused)
 		return
 	}
-	sent := h.errand(l, dispatch.Errand{Start: &fleet.Start{
+	sent := h.command(l, dispatch.Command{Start: &fleet.Start{
 		Target: l.target(), Run: s.Run, Spec: s.Spec, Saved: s.Saved, Ticket: s.Ticket,
 		Until: h.lease(l), Epoch: h.cell.epoch,
 	}})
@@ -44,7 +44,7 @@
 
 func (h *Holder) orderStop(s planner.Stop) {
 	l := h.cell.links[s.Endpoint]
-	if l == nil || !h.errand(l, dispatch.Errand{Stop: &fleet.Stop{Target: l.target(), Run: s.Run, Epoch: h.cell.epoch}}) {
+	if l == nil || !h.command(l, dispatch.Command{Stop: &fleet.Stop{Target: l.target(), Run: s.Run, Epoch: h.cell.epoch}}) {
 		h.retryStop(s.Run)
 		return
 	}
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -115,7 +115,7 @@
 	c, r := h.cell, h.cell.restored
 	c.restored = nil
 	c.recorder = newRecorder(h, r.record)
-	c.errands = newErrands(h)
+	c.commands = newCommands(h)
 	c.cleaner = newCleaner(h)
 	c.start(h, NewPruner(c.ctx, h.Table, h.Parts, h.Wall, h.Log))
 	if h.catalog != nil {
@@ -164,7 +164,7 @@
 		c.start(h, feed.New(c.ctx, o))
 	}
 	c.consults.setInstances(h, h.Instances())
-	c.errands.setInstances(h.Instances())
+	c.commands.setInstances(h.Instances())
 }
 
 // jobsMessage are accepted or cancelled jobs.
