A holder that reaches the table only through others makes way

Change: an instance whose direct way to the table is lost waits a second before it claims; a holder whose renewals have gone through others for 1.2 s releases the lease (election: gives the cell to another when the holder reaches the table only through others; it kept the cell before).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 1
 SECONDS ?= 15
 
-.PHONY: soak build demo capacity test check unit bench clean
+.PHONY: soak cost build demo capacity test check unit bench clean
 
 build:
 	@mkdir -p bin
@@ -35,6 +35,9 @@
 soak:
 	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -timeout 2h ./integration/soak
 
+cost:
+	HORNBEAM_MEASURE=1 $(GO) test -v -count=1 -timeout 10m ./integration/cell -ginkgo.focus "costs" -ginkgo.v
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -124,6 +124,7 @@
 	n.election = election.New(n.ctx, election.Options{
 		Node: s.Node.Name, Incarnation: n.incarnation, CPUShare: s.Runtime.CPUShare,
 		Larger: func() bool { return n.directory.Largest() >= largerTimes*s.Runtime.CPUShare },
+		Detour: n.relayed.Detour,
 		Table:  n.relayed, Clock: clock.Boot{}, Log: n.log, Listener: n.holder,
 	})
 }
--- a/election/election.go
+++ b/election/election.go
@@ -61,8 +61,12 @@
 	// smaller ones wait in proportion, so that larger ones hold the cell.
 	claimBase = 40 * time.Millisecond
 	// deferTime is how long an instance waits in addition while one of at least
-	// twice its size is known: the time of a call that failed and its repetition.
+	// twice its size is known, or the table is reached only through others: the
+	// time of a call that failed and its repetition.
 	deferTime = time.Second
+	// detourMost is how long a holder goes on through other instances: they reach
+	// the table, so that one of them holds the cell better.
+	detourMost = 1200 * time.Millisecond
 	// yieldAfter is how long it holds the cell before it makes way for such a
 	// one, once.
 	yieldAfter = 4 * time.Second
@@ -111,7 +115,10 @@
 	CPUShare float64
 	// Larger reports whether another instance of at least twice its size is
 	// known.
-	Larger   func() bool
+	Larger func() bool
+	// Detour returns for how long the table has been reached only through other
+	// instances; 0 while it is reached directly.
+	Detour   func() time.Duration
 	Table    storage.FeedTable
 	Clock    clock.Clock
 	Log      *logging.Logger
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -64,11 +65,17 @@
 
 // joinBeside does the same where an instance of twice its size is known or not.
 func joinBeside(stand *platformtest.Table, name, incarnation string, larger bool) *candidate {
+	return joinWith(stand, name, incarnation, larger, func() time.Duration { return 0 })
+}
+
+// joinWith does the same where the table is reached only through others for the
+// time that detour returns.
+func joinWith(stand *platformtest.Table, name, incarnation string, larger bool, detour func() time.Duration) *candidate {
 	c := &candidate{}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.Election = election.New(ctx, election.Options{
-		Node: name, Incarnation: incarnation, CPUShare: 1, Larger: func() bool { return larger }, Table: platform.NewTable(stand.Address, true),
+		Node: name, Incarnation: incarnation, CPUShare: 1, Larger: func() bool { return larger }, Detour: detour, Table: platform.NewTable(stand.Address, true),
 		Clock: clock.Boot{}, Log: logging.Discard(), Listener: c,
 	})
 	group := duty.NewGroup(context.Background())
@@ -157,6 +164,18 @@
 		Consistently(func() int { _, _, elects := small.state(); return elects }, 6*time.Second).Should(Equal(2))
 	})
 
+	It("gives the cell to another when the holder reaches the table only through others", func() {
+		var lost atomic.Int64
+		a := joinWith(stand, "a", "1", false, func() time.Duration { return time.Duration(lost.Load()) })
+		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
+		b := join(stand, "b", "1")
+		lost.Store(int64(time.Second))
+		Consistently(func() int { return holders(a) }, time.Second).Should(Equal(1), "not at once")
+		lost.Store(int64(2 * time.Second))
+		Eventually(func() int { return holders(b) }, patience).Should(Equal(1))
+		Expect(holders(a)).To(BeZero())
+	})
+
 	It("says so when the holder resigns though the first try fails", func() {
 		a := join(stand, "a", "1")
 		Eventually(func() int { return holders(a) }, patience).Should(Equal(1))
--- a/election/holding.go
+++ b/election/holding.go
@@ -16,7 +16,7 @@
 	if wait := e.claimAt.Sub(e.Clock.Now()); wait > 0 {
 		return wait
 	}
-	if !e.deferred && e.Larger() {
+	if !e.deferred && (e.Larger() || e.Detour() > 0) {
 		e.deferred, e.claimAt = true, e.Clock.Now().Add(deferTime)
 		return deferTime
 	}
@@ -107,6 +107,9 @@
 	err := e.writeLease(e.ctx, false)
 	e.slow = eris.Is(err, storage.ErrUnavailable)
 	switch {
+	case err == nil && e.Detour() > detourMost:
+		e.fire(evYield)
+		return 0
 	case err == nil:
 		e.Listener.Renewed(now.Add(LeaseTime))
 		e.renewAt = now.Add(renewPeriod)
--- a/integration/harness/build.go
+++ b/integration/harness/build.go
@@ -7,6 +7,7 @@
 import (
 	"os"
 	"os/exec"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -22,13 +23,21 @@
 // binaries is the directory of the built binaries.
 var binaries string
 
+// Measuring reports whether costs are measured, which the race detector would
+// multiply.
+func Measuring() bool { return os.Getenv("HORNBEAM_MEASURE") != "" }
+
 // Build builds the binaries. Every suite calls it before its tests.
 func Build() {
 	var err error
 	binaries, err = os.MkdirTemp("", "hornbeam-integration-")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(os.RemoveAll, binaries)
-	build := exec.Command("go", "build", "-race", "-o", binaries, "github.com/hornbeamworks/hornbeam/cmd/...")
+	args := []string{"build", "-race", "-o", binaries, "github.com/hornbeamworks/hornbeam/cmd/..."}
+	if Measuring() {
+		args = slices.Delete(args, 1, 2)
+	}
+	build := exec.Command("go", args...)
 	out, err := build.CombinedOutput()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
 }
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -58,7 +59,13 @@
 	return startSite(nodes, endpoints, work, 0)
 }
 
-// directEndpoints is more endpoints than a test has.
+// StartDirectSite does the same where the holder calls all endpoints itself,
+// however many there are.
+func StartDirectSite(nodes, endpoints int, work time.Duration) *Site {
+	return startSite(nodes, endpoints, work, endpoints)
+}
+
+// directEndpoints is more endpoints than most tests have.
 const directEndpoints = 100
 
 func startSite(nodes, endpoints int, work time.Duration, direct int) *Site {
@@ -142,6 +149,24 @@
 	gomega.Expect(n.command.Process.Signal(s)).To(gomega.Succeed())
 }
 
+// ProcessorTime returns the processor time that the process has taken.
+func (n *Node) ProcessorTime() time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.command.Process.Pid))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	// The fields after the name in brackets begin with the third one.
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	ticks := 0
+	for _, field := range []int{14, 15} {
+		n, err := strconv.Atoi(fields[field-3])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
+
+// ticksPerSecond is the unit of the kernel's processor times.
+const ticksPerSecond = 100
+
 // Ended waits for the process to end and returns how.
 func (n *Node) Ended() error {
 	var how error
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,8 @@
 	// away is until when the direct way is left alone, in nanoseconds of the
 	// clock; 0 while it works.
 	away atomic.Int64
+	// lostAt is when the direct way was lost, in nanoseconds of the clock.
+	lostAt atomic.Int64
 }
 
 // New returns a table that is reached directly or through the instances at the
@@ -164,8 +166,19 @@
 	return now >= until && t.away.CompareAndSwap(until, now+int64(directPause))
 }
 
+// Detour returns for how long the direct way has been lost; 0 while it works.
+func (t *Table) Detour() time.Duration {
+	if t.away.Load() == 0 {
+		return 0
+	}
+	return time.Duration(t.clock.Now().UnixNano() - t.lostAt.Load())
+}
+
 func (t *Table) noteDirect(err error) {
 	if lost(err) {
+		if t.away.Load() == 0 {
+			t.lostAt.Store(t.clock.Now().UnixNano())
+		}
 		if t.away.Swap(t.clock.Now().UnixNano()+int64(directPause)) == 0 {
 			t.log.Warn("table_lost", slog.Any("error", err))
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -67,7 +67,9 @@
 
 	It("goes through another instance when the table turns its own away", func() {
 		t := turnedAway(other(direct))
+		Expect(t.Detour()).To(BeZero())
 		Expect(t.Commit(ctx, put)).To(Succeed())
+		Expect(t.Detour()).To(BeNumerically(">", 0))
 		row, err := t.Get(ctx, "t//a")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(row.Value)).To(Equal("x"))
