Take no listing of a former life for the new one

The link went back to the former life, and the number of that life's last end was sent with the next listing: the new life forgot its first ends unseen, and their tasks ran again.

Change: a listing that was asked for before a new life became known, and comes from another one, is dropped; the endpoint is asked again at once. Starts are told apart by difference, not by order, since clocks may be set back.

--- a/holder/links.go
+++ b/holder/links.go
@@ -46,6 +46,8 @@
 	clock   fleet.EndpointTime
 	clockAt time.Time
 	born    int64
+	// bornAt is when that start became known.
+	bornAt time.Time
 	// until is the latest end of a lease that was sent, leaseEnds the time by
 	// which that has certainly passed.
 	until     fleet.EndpointTime
@@ -110,8 +112,8 @@
 
 // newLife notes that the endpoint has started anew: its ends and its clock count
 // from there. It takes no starts until it has told its clock.
-func (l *link) newLife(born int64) {
-	l.born, l.seen, l.forget, l.until, l.clock = born, 0, 0, 0, 0
+func (l *link) newLife(born int64, now time.Time) {
+	l.born, l.seen, l.forget, l.until, l.clock, l.bornAt = born, 0, 0, 0, 0, now
 }
 
 func (h *Holder) renew(l *link) {
@@ -195,11 +197,15 @@
 // earliest.
 func (h *Holder) takeListing(l *link, asked time.Time, listing fleet.Listing) {
 	c := h.cell
+	l.nextAt = h.now
+	if listing.Born != l.born && asked.Before(l.bornAt) {
+		// It was asked for in a former life: its ends have other numbers.
+		return
+	}
 	if listing.Born != l.born {
-		l.newLife(listing.Born)
+		l.newLife(listing.Born, h.now)
 	}
 	l.clock, l.clockAt = listing.Clock, h.now
-	l.nextAt = h.now
 	fresh := listing
 	fresh.Ended = nil
 	for _, e := range listing.Ended {
@@ -299,7 +305,7 @@
 			slog.String("domain", string(info.Domain)), slog.Bool("leaving", info.Leaving), slog.Int64("born", info.Born))
 	}
 	if info.Born > l.born && l.born > 0 {
-		l.newLife(info.Born)
+		l.newLife(info.Born, h.now)
 	}
 	c.commands.stale = c.commands.stale || l.info.Domain != info.Domain
 	l.info, l.address, l.missing = info, info.Address, time.Time{}
