--- a/planner/pace.go
+++ b/planner/pace.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/hornbeamworks/hornbeam/jobs"
 )
 
 const (
@@ -33,7 +31,7 @@
 		return
 	}
 	took := float64(p.now.Sub(r.since)) / float64(s.Estimate)
-	typical := p.typicalPace(s.job.Queue)
+	typical := ratioOf(p.typical, s.job.Queue)
 	if usual := typical.or(0); usual > 0 {
 		r.at.pace.add(min(took/usual, paceMax), paceWindow)
 		r.at.pace.at = p.now
@@ -41,15 +39,6 @@
 	typical.add(took, paceTypical)
 }
 
-func (p *Planner) typicalPace(queue jobs.QueueName) *ratio {
-	r := p.typical[queue]
-	if r == nil {
-		r = &ratio{}
-		p.typical[queue] = r
-	}
-	return r
-}
-
 // slowness returns how much longer than usual tasks are expected to take on the
 // endpoint: 1 if nothing is known.
 func (e *endpoint) slowness(now time.Time) float64 {
--- a/planner/questions.go
+++ b/planner/questions.go
@@ -98,7 +98,7 @@
 	if list[0].slots == 0 {
 		list, most = p.roomiest(s, size, func(e *endpoint) model.Resources { return p.claimable(e, queue.Priority) })
 	}
-	share := max(p.goodRatio(s.job.Queue).or(goodAtFirst), 0.05)
+	share := max(ratioOf(p.good, s.job.Queue).or(goodAtFirst), 0.05)
 	needed := int(math.Ceil(adviceSpare*float64(len(s.pending))/(float64(most)*share))) + adviceLeast
 	if each := queue.Advice.PerEndpoint; each > 0 {
 		// Up to the time of the question itself, further endpoints cost little.
@@ -142,11 +142,12 @@
 	p.ask(s, queue, p.toAsk(s, queue))
 }
 
-func (p *Planner) goodRatio(queue jobs.QueueName) *ratio {
-	r := p.good[queue]
+// ratioOf returns the queue's average among all, a new one if it has none.
+func ratioOf(all map[jobs.QueueName]*ratio, queue jobs.QueueName) *ratio {
+	r := all[queue]
 	if r == nil {
 		r = &ratio{}
-		p.good[queue] = r
+		all[queue] = r
 	}
 	return r
 }
--- a/planner/step.go
+++ b/planner/step.go
@@ -214,7 +214,7 @@
 			s.advice.good[id] = permit{ticket: ticket, expires: answered.Add(queue.Advice.Valid - ticketMargin), born: e.Born}
 		}
 	}
-	p.goodRatio(j.Queue).add(float64(len(tickets))/float64(len(q.Endpoints)), goodWindow)
+	ratioOf(p.good, j.Queue).add(float64(len(tickets))/float64(len(q.Endpoints)), goodWindow)
 }
 
 // progress returns what has to be recorded of the step, and whether there is
