Account for what jobs of each queue wait for and lose

Logs and metrics could not tell why jobs of a class earned nothing: nothing showed the urgency of jobs, what steps waited for, for whom runs were stopped, what reservations held idle, or which queue used the advice service. The planner now keeps these by queue and by job; the holder logs them in the event queue and in job_decided and counts ends by timeliness, the front counts its answers by queue. No decision reads them.

--- a/front/front.go
+++ b/front/front.go
@@ -41,6 +41,8 @@
 var (
 	callTimes = metrics.NewHistograms("call_time_by_kind", maxLabels)
 	calls     = expvar.NewMap("front")
+	// queueCalls counts calls by queue, kind and result code.
+	queueCalls = expvar.NewMap("front_by_queue")
 )
 
 // Caller identifies the caller and the queue of a call.
@@ -189,6 +191,7 @@
 		slog.Duration("took", took), slog.Duration("view_age", age),
 	}
 	if call.queue != nil {
+		queueCalls.Add(string(call.queue.Name)+"/"+kind+"/"+a.Code.String(), 1)
 		attrs = append(attrs, slog.String("queue", string(call.queue.Name)))
 	}
 	if a.State != "" {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"expvar"
 	"log/slog"
 	"maps"
 	"time"
@@ -21,7 +20,6 @@
 	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/logging"
-	"github.com/hornbeamworks/hornbeam/metrics"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
 	"github.com/hornbeamworks/hornbeam/planner"
@@ -44,14 +42,6 @@
 	// queuesPublishPeriod is how often changed numbers of waiting jobs are
 	// published: the numbers that callers get may be up to 2 s old.
 	queuesPublishPeriod = 700 * time.Millisecond
-	// statsPeriod is how often the state of the cell is logged.
-	statsPeriod = 5 * time.Second
-	// maxStepsLogged bounds the waiting steps that are logged each time. Only
-	// steps that have waited for at least longWait are logged.
-	maxStepsLogged = 4
-	longWait       = 10 * time.Second
-	// maxMetricLabels bounds the number of teams and of queues in metrics.
-	maxMetricLabels = 128
 )
 
 // Settings configure a holder.
@@ -163,13 +153,6 @@
 	actingStates = machine.MustSet("deciding")
 }
 
-var (
-	startWaits = metrics.NewHistograms("start_wait_by_queue", maxMetricLabels)
-	jobTimes   = metrics.NewHistograms("job_time_by_queue", maxMetricLabels)
-	teamTimes  = metrics.NewHistograms("job_time_by_team", maxMetricLabels)
-	counts     = expvar.NewMap("holder")
-)
-
 // New returns a holder that has not started. ctx bounds its calls.
 func New(ctx context.Context, s Settings, o Dependencies) *Holder {
 	h := &Holder{Settings: s, Dependencies: o, ctx: ctx, evacuated: map[model.DomainName]bool{}}
@@ -262,15 +245,6 @@
 	}
 }
 
-func (h *Holder) logOutcome(o planner.Outcome) {
-	counts.Add("jobs_"+string(o.State), 1)
-	jobTimes.Record(string(o.Queue), o.Took)
-	teamTimes.Record(string(o.Team), o.Took)
-	h.Log.Info("job_decided", slog.String("id", string(o.Job)), slog.String("state", string(o.State)),
-		slog.String("reason", o.Reason), slog.String("queue", string(o.Queue)), slog.String("team", string(o.Team)),
-		slog.Duration("took", o.Took), slog.Uint64("epoch", h.cell.epoch))
-}
-
 // publishQueues passes the numbers of waiting jobs to the recorder if they have
 // changed.
 func (h *Holder) publishQueues() {
@@ -286,24 +260,3 @@
 	c.publishedQueues = waiting
 	c.recorder.queues = waiting
 }
-
-func (h *Holder) logStats() {
-	c := h.cell
-	if h.now.Sub(c.statsLoggedAt) < statsPeriod {
-		return
-	}
-	c.statsLoggedAt = h.now
-	stats := c.planner.Stats()
-	h.Log.Info("cell", slog.Uint64("epoch", c.epoch), slog.Int("jobs", stats.Jobs), slog.Int("runs", stats.Runs),
-		slog.Int("reserved", stats.Reserved), slog.Int("pending", stats.Pending), slog.Int("usable", stats.Usable),
-		slog.Int("endpoints", stats.Endpoints), slog.Int64("cpu_used", stats.CPUUsed), slog.Int64("cpu_total", stats.CPUTotal),
-		slog.Int("questions", c.adviceQueue.waiting()), slog.Duration("lease_left", h.actUntil.Sub(h.now)))
-	for _, waiting := range c.planner.LongestWaiting(maxStepsLogged) {
-		if waiting.Since < longWait {
-			continue
-		}
-		h.Log.Info("step_waits", slog.String("id", string(waiting.Step.Job)), slog.String("step", waiting.Step.String()),
-			slog.String("queue", string(waiting.Queue)), slog.Duration("since", waiting.Since), slog.Int("pending", waiting.Pending),
-			slog.Int("tasks", waiting.Count), slog.String("reason", waiting.Reason), slog.Int("asked", waiting.Requested), slog.Int("good", waiting.Eligible))
-	}
-}
--- /dev/null
+++ b/holder/stats.go
@@ -0,0 +1,91 @@
+package holder
+
+import (
+	"expvar"
+	"log/slog"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/metrics"
+	"github.com/hornbeamworks/hornbeam/planner"
+)
+
+const (
+	// statsPeriod is how often the state of the cell and of its queues is logged.
+	statsPeriod = 5 * time.Second
+	// maxStepsLogged bounds the waiting steps that are logged each time. Only
+	// steps that have waited for at least longWait are logged.
+	maxStepsLogged = 4
+	longWait       = 10 * time.Second
+	// maxMetricLabels bounds the number of teams and of queues in metrics.
+	maxMetricLabels = 128
+)
+
+var (
+	startWaits = metrics.NewHistograms("start_wait_by_queue", maxMetricLabels)
+	jobTimes   = metrics.NewHistograms("job_time_by_queue", maxMetricLabels)
+	teamTimes  = metrics.NewHistograms("job_time_by_team", maxMetricLabels)
+	waitTimes  = metrics.NewHistograms("job_wait_by_queue_and_cause", maxMetricLabels)
+	counts     = expvar.NewMap("holder")
+	// queueCounts counts the ends of jobs by queue, final state and timeliness.
+	queueCounts = expvar.NewMap("queues")
+)
+
+func (h *Holder) logOutcome(o planner.Outcome) {
+	counts.Add("jobs_"+string(o.State), 1)
+	queueCounts.Add(string(o.Queue)+"/"+string(o.State)+"/"+string(o.Timeliness), 1)
+	jobTimes.Record(string(o.Queue), o.Took)
+	teamTimes.Record(string(o.Team), o.Took)
+	attrs := []slog.Attr{
+		slog.String("id", string(o.Job)), slog.String("state", string(o.State)),
+		slog.String("reason", o.Reason), slog.String("queue", string(o.Queue)), slog.String("team", string(o.Team)),
+		slog.Duration("took", o.Took), slog.Uint64("epoch", h.cell.epoch),
+		slog.String("timeliness", string(o.Timeliness)), slog.Bool("surplus", o.Surplus),
+		slog.Int("preemptions", o.Preemptions), slog.Int("failed_runs", o.FailedRuns),
+	}
+	for cause, waited := range o.Waits {
+		name := planner.WaitCause(cause).String()
+		waitTimes.Record(string(o.Queue)+"/"+name, waited)
+		attrs = append(attrs, slog.Duration("waited_"+name, waited))
+	}
+	h.Log.Info("job_decided", attrs...)
+}
+
+func (h *Holder) logStats() {
+	c := h.cell
+	if h.now.Sub(c.statsLoggedAt) < statsPeriod {
+		return
+	}
+	c.statsLoggedAt = h.now
+	stats := c.planner.Stats()
+	h.Log.Info("cell", slog.Uint64("epoch", c.epoch), slog.Int("jobs", stats.Jobs), slog.Int("runs", stats.Runs),
+		slog.Int("reserved", stats.Reserved), slog.Int("pending", stats.Pending), slog.Int("usable", stats.Usable),
+		slog.Int("endpoints", stats.Endpoints), slog.Int64("cpu_used", stats.CPUUsed), slog.Int64("cpu_total", stats.CPUTotal),
+		slog.Int("questions", c.adviceQueue.waiting()), slog.Duration("lease_left", h.actUntil.Sub(h.now)))
+	for _, queue := range c.planner.QueueStats() {
+		h.logQueue(queue)
+	}
+	for _, waiting := range c.planner.LongestWaiting(maxStepsLogged) {
+		if waiting.Since < longWait {
+			continue
+		}
+		h.Log.Info("step_waits", slog.String("id", string(waiting.Step.Job)), slog.String("step", waiting.Step.String()),
+			slog.String("queue", string(waiting.Queue)), slog.Duration("since", waiting.Since), slog.Int("pending", waiting.Pending),
+			slog.Int("tasks", waiting.Count), slog.String("reason", waiting.Reason), slog.Int("asked", waiting.Requested), slog.Int("good", waiting.Eligible))
+	}
+}
+
+func (h *Holder) logQueue(q planner.QueueStats) {
+	attrs := []slog.Attr{
+		slog.Uint64("epoch", h.cell.epoch), slog.String("queue", string(q.Queue)), slog.Int("jobs", q.Jobs),
+		slog.Int("in_time", q.InTime), slog.Int("surplus", q.Surplus), slog.Int("overdue", q.Overdue),
+		slog.Int64("cpu_used", q.CPUUsed), slog.Int64("cpu_reserved", q.CPUReserved),
+		slog.Float64("reserved_core_ms", q.Reserved), slog.Float64("withdrawn_core_ms", q.Withdrawn),
+		slog.Int("withdrawn_runs", q.WithdrawnRuns), slog.Int("preempted", q.Preempted), slog.Int("preempted_for", q.PreemptedFor),
+		slog.Float64("lost_core_ms", q.LostWork), slog.Int("advice_requests", q.AdviceRequests), slog.Duration("advice_time", q.AdviceTime),
+	}
+	for cause, steps := range q.Waiting {
+		name := planner.WaitCause(cause).String()
+		attrs = append(attrs, slog.Int("waiting_"+name, steps), slog.Duration("waited_"+name, q.Waited[cause]))
+	}
+	h.Log.Info("queue", attrs...)
+}
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -88,6 +88,9 @@
 	}
 	s.advice.outstanding = true
 	s.advice.requestedAt = p.now
+	use := p.useOf(s.job.Queue)
+	use.AdviceRequests++
+	use.AdviceTime += q.Advice.Cost(len(endpoints))
 	p.plan.AdviceRequests = append(p.plan.AdviceRequests, AdviceRequest{
 		Step: s.id, Endpoints: ids, Cost: q.Advice.Cost(len(ids)), Priority: q.Priority, Due: s.rank.due,
 	})
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -11,10 +11,11 @@
 // is lacking.
 func (p *Planner) placeGang(s *step, candidates []*endpoint) bool {
 	if len(s.pending) < s.Count {
-		// Members of the previous run have not ended.
+		s.waitFor(WaitMembers)
 		return true
 	}
 	if !p.withinLimit(s.job.Team, s.Committed().Scale(int64(s.Count))) {
+		s.waitFor(WaitLimit)
 		return true
 	}
 	placement := p.gangPlacement(s, candidates, func(e *endpoint) model.Resources { return e.planned })
--- a/planner/job.go
+++ b/planner/job.go
@@ -28,6 +28,10 @@
 	// surplus is set when the team had exceeded its weight at the time the
 	// job was accepted.
 	surplus bool
+	// waits is the time that its steps have waited, preemptions the number of its
+	// runs that were stopped for more urgent work.
+	waits       Waits
+	preemptions int
 }
 
 // jobsChart is bound in init because its actions fire events of tasks and
@@ -105,8 +109,12 @@
 
 func (j *job) reportOutcome() {
 	j.markChanged()
+	for _, s := range j.steps {
+		s.addWait()
+	}
 	j.p.plan.Outcomes = append(j.p.plan.Outcomes, Outcome{
 		Job: j.ID, State: j.outcome, Reason: j.reason, Took: j.p.now.Sub(j.accepted), Queue: j.Queue, Team: j.Team,
+		Account: j.account(),
 	})
 	for _, s := range j.steps {
 		j.p.closeStep(s)
--- a/planner/place.go
+++ b/planner/place.go
@@ -25,6 +25,7 @@
 func (p *Planner) place(s *step) bool {
 	queue := p.queueOf(s.job)
 	if queue == nil || p.now.Before(s.adviceRetryAt) {
+		s.waitFor(WaitAdvice)
 		return true
 	}
 	if p.now.Before(s.placementRetryAt) && !p.freedSince(s, queue) {
@@ -33,8 +34,10 @@
 	}
 	candidates := p.candidates(s, queue)
 	if candidates == nil {
+		s.waitFor(WaitAdvice)
 		return true
 	}
+	s.waitFor(WaitCapacity)
 	placed := false
 	if s.Gang {
 		placed = p.placeGang(s, candidates)
@@ -103,11 +106,13 @@
 	usable, expired := p.splitByTicket(s, candidates)
 	for _, t := range slices.Clone(s.pending) {
 		if !p.withinLimit(s.job.Team, size) {
+			s.waitFor(WaitLimit)
 			return true
 		}
 		e := p.bestEndpoint(s, t, usable)
 		if e == nil && p.bestEndpoint(s, t, expired) != nil {
 			p.renewAdvice(s, expired)
+			s.waitFor(WaitAdvice)
 			return true
 		}
 		if e == nil && p.mayPreempt(s) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -51,6 +51,7 @@
 	Took  time.Duration
 	Queue jobs.QueueName
 	Team  model.TeamName
+	Account
 }
 
 // Plan holds the decisions made since the previous plan was taken.
@@ -109,6 +110,8 @@
 	// typicalRunTime is the average run time of a queue's tasks, as a ratio
 	// of their estimates.
 	typicalRunTime map[jobs.QueueName]*movingAverage
+	// use is what the planner has done for each queue in this epoch.
+	use map[jobs.QueueName]*QueueUse
 	// stopTime is the upper bound of the time that a stop takes.
 	stopTime time.Duration
 }
@@ -128,6 +131,7 @@
 		reserved:       map[*run]bool{},
 		eligibleRatio:  map[jobs.QueueName]*movingAverage{},
 		typicalRunTime: map[jobs.QueueName]*movingAverage{},
+		use:            map[jobs.QueueName]*QueueUse{},
 	}
 }
 
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -108,6 +108,7 @@
 func (p *Planner) preempt(s *step, stops []*run) {
 	for _, r := range stops {
 		r.task.preemptions++
+		p.recordPreemption(s, r)
 		r.stop("makes room for " + s.id.String())
 	}
 }
--- a/planner/run.go
+++ b/planner/run.go
@@ -102,14 +102,15 @@
 	}
 	p := r.task.step.job.p
 	p.dirty = true
-	r.enteredAt = p.now
 	if event == evConfirm || event == evStopConfirmed || event == evReported || event == evInherit {
 		r.repliedAt = p.now
 	}
 	if before == runReserved {
 		delete(p.reserved, r)
+		p.recordReservation(r, r.state == runGone)
 		r.endpoint.markDispatched(r)
 	}
+	r.enteredAt = p.now
 	r.endpoint.updateReleasing(r, r.state == runStopping || r.state == runEnding)
 	if before == runReserved && r.state != runGone {
 		r.task.step.job.started = true
--- a/planner/step.go
+++ b/planner/step.go
@@ -39,6 +39,10 @@
 	// adviceRetryAt delays the next attempt after an advice request has
 	// failed.
 	adviceRetryAt time.Time
+	// waitCause is what the pending tasks have waited for since waitedUntil; the
+	// time before is in the job's waits.
+	waitCause   WaitCause
+	waitedUntil time.Time
 }
 
 // advice is the state of the advice about a step: the endpoints that were
@@ -61,7 +65,7 @@
 
 var evStepOpen, evStepComplete chart.Event
 
-var stepComplete chart.State
+var stepOpen, stepComplete chart.State
 
 func init() {
 	stepsChart = chart.MustBind(charts.MustLoad("cell_step"),
@@ -72,6 +76,7 @@
 		})
 	evStepOpen = stepsChart.MustEvent("open")
 	evStepComplete = stepsChart.MustEvent("complete")
+	stepOpen = stepsChart.MustState("open")
 	stepComplete = stepsChart.MustState("complete")
 }
 
@@ -90,6 +95,7 @@
 
 func (s *step) addToOpen() {
 	s.openedAt = s.job.p.now
+	s.waitedUntil = s.openedAt
 	s.job.p.open[s] = true
 }
 
@@ -151,6 +157,7 @@
 func (s *step) removePending(t *task) {
 	for i, other := range s.pending {
 		if other == t {
+			s.addWait()
 			s.pending = append(s.pending[:i], s.pending[i+1:]...)
 			return
 		}
@@ -163,6 +170,7 @@
 			return
 		}
 	}
+	s.waitFor(WaitTurn)
 	s.pending = append(s.pending, t)
 }
 
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -22,6 +22,7 @@
 	failures := map[int]int{}
 	for _, s := range p.waitingSteps() {
 		if failures[s.rank.priority] >= maxPlacementFailures {
+			s.waitFor(WaitTurn)
 			continue
 		}
 		if !p.place(s) {
@@ -60,6 +61,7 @@
 		if s.rank.urgency != inTime {
 			delete(p.open, s)
 			p.deferred[s] = true
+			s.waitFor(WaitTurn)
 			continue
 		}
 		list = append(list, s)
@@ -80,6 +82,7 @@
 		p.deferredOrder = p.deferredOrder[:0]
 		for s := range p.deferred {
 			p.updateRank(s)
+			s.waitFor(WaitTurn)
 			p.deferredOrder = append(p.deferredOrder, s)
 		}
 		sortSteps(p.deferredOrder)
