Restore jobs in the order of their acceptance

What callers saw: after a take-over, jobs within their team's weight could wait behind everything, as surplus of their team.

Cause: the successor added the restored jobs in the iteration order of a map. A team's token bucket is filled at the time of the first job and refilled only by later ones, so that earlier jobs found it empty.

Change: Planner.Restore adds them in the order of acceptance. Test: successor_test "counts as surplus what its predecessor did"; with the former loop in Restore it fails (27 expected). What remains: jobs that ended before the take-over are not restored and charge no token, so that the successor counts fewer jobs as surplus.

--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -130,9 +130,7 @@
 		c.roster[e.ID] = e
 		h.addSession(e.ID, e.Address)
 	}
-	for id, job := range r.jobs {
-		c.planner.AddJob(job, r.progress[id])
-	}
+	c.planner.Restore(r.jobs, r.progress)
 	for id := range r.progress {
 		if r.jobs[id] == nil {
 			// The job's row has been deleted.
--- a/planner/job.go
+++ b/planner/job.go
@@ -1,6 +1,9 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/chart"
@@ -78,6 +81,18 @@
 	}
 }
 
+// Restore adds the accepted jobs of a former holder with their recorded progress.
+// They are added in the order of their acceptance, so that those beyond their
+// team's weight are the ones that were accepted last.
+func (p *Planner) Restore(accepted map[jobs.ID]*jobs.Job, progress map[jobs.ID]*jobs.Progress) {
+	list := slices.SortedFunc(maps.Values(accepted), func(a, b *jobs.Job) int {
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	for _, j := range list {
+		p.AddJob(j, progress[j.ID])
+	}
+}
+
 // acceptedAt converts the job's time of acceptance to the monotonic clock.
 // The wall clocks of two instances may differ, so a negative age counts as
 // zero.
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -1,11 +1,13 @@
 package planner_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hornbeamworks/hornbeam/catalog"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -84,4 +86,31 @@
 		Expect(plan.Starts).To(BeEmpty())
 		Expect(plan.Removed).To(HaveLen(1))
 	})
+
+	// The rows of jobs are read in no particular order. A token bucket that is filled
+	// at the time of a later job rejects the earlier ones.
+	It("counts as surplus what its predecessor did", func() {
+		limited := func(f *fixture) *fixture {
+			c := *f.catalog
+			c.Version = 2
+			c.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 2}}
+			f.SetCatalog(&c)
+			return f
+		}
+		previous := limited(newFixture(1, 0))
+		accepted := map[jobs.ID]*jobs.Job{}
+		for i := range 40 {
+			job := previous.submit(jobs.ID(fmt.Sprintf("job%02d", i)), batch, single)
+			accepted[job.ID] = job
+			previous.tick(100 * time.Millisecond)
+		}
+		previous.plan()
+		Expect(queueStats(previous, batch).Surplus).To(BeNumerically(">", 20))
+
+		f := limited(newFixture(2, 0))
+		f.tick(previous.now.Sub(f.now))
+		f.Restore(accepted, nil)
+		f.plan()
+		Expect(queueStats(f, batch).Surplus).To(Equal(queueStats(previous, batch).Surplus))
+	})
 })
