Send advice requests in the order of the waiting steps

Requests were sent by priority and due time alone: those of surplus and overdue steps of an earlier priority went before those of steps still in time, although the planner places these first. While advice is short, the lowest class got none.

Change: a request carries the rank of its step, and the holder sends requests in that order; the decision is the planner's. Test: advice_test "is requested for work in time before what its team sent beyond its weight"; by priority and due time its first expectation is false.

--- a/holder/advice.go
+++ b/holder/advice.go
@@ -66,13 +66,7 @@
 	if len(q.requests) == 0 || !h.mayAct() {
 		return
 	}
-	sort.SliceStable(q.requests, func(i, k int) bool {
-		a, b := q.requests[i], q.requests[k]
-		if a.Priority != b.Priority {
-			return a.Priority < b.Priority
-		}
-		return a.Due.Before(b.Due)
-	})
+	sort.SliceStable(q.requests, func(i, k int) bool { return q.requests[i].Before(q.requests[k]) })
 	var remaining []planner.AdviceRequest
 	for _, request := range q.requests {
 		if requester := q.idleRequester(h.now, request.Cost <= planner.ShortAdviceRequest); requester == nil || !requester.Offer(request) {
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -47,11 +47,13 @@
 	Endpoints []model.EndpointID
 	// Cost is the time that the advice service needs for the request.
 	Cost time.Duration
-	// Priority and Due determine the order of requests.
-	Priority int
-	Due      time.Time
+	// rank is the rank of the step at the time of the request.
+	rank rank
 }
 
+// Before reports whether the request is to be sent before the other one.
+func (q AdviceRequest) Before(other AdviceRequest) bool { return q.rank.before(other.rank) }
+
 // SetAdviceInstances sets the number of instances that can send advice requests.
 func (p *Planner) SetAdviceInstances(n int) { p.adviceInstances = n }
 
@@ -92,7 +94,7 @@
 	use.AdviceRequests++
 	use.AdviceTime += q.Advice.Cost(len(endpoints))
 	p.plan.AdviceRequests = append(p.plan.AdviceRequests, AdviceRequest{
-		Step: s.id, Endpoints: ids, Cost: q.Advice.Cost(len(ids)), Priority: q.Priority, Due: s.rank.due,
+		Step: s.id, Endpoints: ids, Cost: q.Advice.Cost(len(ids)), rank: s.rank,
 	})
 }
 
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,7 @@
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
 )
 
 var _ = Describe("Advice", func() {
@@ -54,6 +56,24 @@
 		}
 		Expect(f.plan().AdviceRequests).To(HaveLen(6), "two for each of three instances")
 	})
+
+	It("is requested for work in time before what its team sent beyond its weight", func() {
+		f := newAdvisedFixture(1, shortAdvice)
+		c := *f.catalog
+		c.Version = 3
+		c.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 1}, "blue": {Name: "blue", Weight: 1}}
+		f.SetCatalog(&c)
+		for i := range 4 {
+			f.submit(jobs.ID(fmt.Sprintf("urgent%d", i)), urgent, single)
+		}
+		f.AddJob(&jobs.Job{ID: "other", Team: "blue", Queue: batch, Steps: []jobs.Step{single}, Accepted: f.now.UnixMilli()}, nil)
+		requests := map[jobs.ID]planner.AdviceRequest{}
+		for _, request := range f.plan().AdviceRequests {
+			requests[request.Step.Job] = request
+		}
+		Expect(requests["other"].Before(requests["urgent3"])).To(BeTrue())
+		Expect(requests["urgent0"].Before(requests["other"])).To(BeTrue())
+	})
 })
 
 var _ = Describe("A gang whose tickets expire at different times", func() {
--- a/planner/fixture_test.go
+++ b/planner/fixture_test.go
@@ -73,6 +73,7 @@
 		advised.Advice = &advice
 		c.Queues[name] = &advised
 	}
+	f.catalog = &c
 	f.SetCatalog(&c)
 	return f
 }
