Try deferred steps that can be placed, not the first ones

Cause: of the steps that are surplus or overdue only the first 48 were tried in each round.

Change: steps that can't be placed now (team at its limit, advice under way, no capacity freed) take no place. Test: "A step that is overdue starts in an idle cell although many steps of a team at its limit are before it", failed before.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -114,6 +115,25 @@
 	})
 })
 
+var _ = Describe("A step that is overdue", func() {
+	// Only some of the deferred steps are tried in each round. Those of a team at its
+	// limit sort first, since their queue has the earlier priority.
+	It("starts in an idle cell although many steps of a team at its limit are before it", func() {
+		f := newFixture(1, 1)
+		limited := *f.catalog
+		limited.Version = 2
+		limited.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red"}, "blue": {Name: "blue", Limit: size(1, 0)}}
+		f.SetCatalog(&limited)
+		for i := range 200 {
+			f.AddJob(&jobs.Job{ID: jobs.ID(fmt.Sprintf("blue%03d", i)), Team: "blue", Queue: urgent, Steps: []jobs.Step{single}, Accepted: f.now.UnixMilli()}, nil)
+		}
+		f.plan()
+		f.tick(time.Minute)
+		f.AddJob(&jobs.Job{ID: "red", Team: "red", Queue: batch, Steps: []jobs.Step{single}, Accepted: f.now.Add(-time.Hour).UnixMilli()}, nil)
+		Expect(f.plan().Starts).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("Capacity and limits", func() {
 	It("counts the capacity of a run that is being stopped as used until its end is listed", func() {
 		f := newFixture(1, 1)
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -11,7 +11,8 @@
 	maxPlacementFailures = 40
 	// deferredSortPeriod is how often the deferred steps are sorted.
 	deferredSortPeriod = 500 * time.Millisecond
-	// maxDeferredTried is how many deferred steps are tried in each round.
+	// maxDeferredTried is how many deferred steps are tried in each round, not
+	// counting those that can't be placed now in any case.
 	maxDeferredTried = 48
 )
 
@@ -92,9 +93,27 @@
 		if len(list) == maxDeferredTried {
 			break
 		}
-		if p.deferred[s] && len(s.pending) > 0 && !s.job.closing() {
+		if p.deferred[s] && len(s.pending) > 0 && !s.job.closing() && p.mayPlace(s) {
 			list = append(list, s)
 		}
 	}
 	return list
 }
+
+// mayPlace reports whether a try to place the step may succeed: its team is below
+// its limit, and it waits neither for advice nor for capacity to be freed.
+func (p *Planner) mayPlace(s *step) bool {
+	queue := p.queueOf(s.job)
+	switch {
+	case queue == nil:
+		return false
+	case !p.withinLimit(s.job.Team, s.Committed()):
+		s.waitFor(WaitLimit)
+		return false
+	case s.advice.outstanding || p.now.Before(s.adviceRetryAt):
+		s.waitFor(WaitAdvice)
+		return false
+	default:
+		return !p.now.Before(s.placementRetryAt) || p.freedSince(s, queue)
+	}
+}
