Let a team's most recent jobs use its burst at a take-over

Change: the jobs accepted last are charged first, so that each team keeps the three seconds of its weight that can still meet their objectives, and its older backlog waits as surplus.

--- a/planner/job.go
+++ b/planner/job.go
@@ -81,12 +81,13 @@
 	}
 }
 
-// Restore adds the accepted jobs of a former holder with their recorded progress.
-// They are added in the order of their acceptance, so that those beyond their
-// team's weight are the ones that were accepted last.
+// Restore adds the accepted jobs of a former holder with their recorded progress. Of
+// each team, the jobs that were accepted last use its burst, and the older ones
+// beyond it count as surplus: of a backlog, the most recent jobs are those that can
+// still meet their objectives.
 func (p *Planner) Restore(accepted map[jobs.ID]*jobs.Job, progress map[jobs.ID]*jobs.Progress) {
 	list := slices.SortedFunc(maps.Values(accepted), func(a, b *jobs.Job) int {
-		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.Accepted, a.Accepted), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range list {
 		p.AddJob(j, progress[j.ID])
