--- a/planner/run.go
+++ b/planner/run.go
@@ -45,12 +45,13 @@
 var runsChart *chart.Machine[run]
 
 var (
-	evDispatch, evConfirm, evReported, evRefused, evNoResponse, evStop    runEvent
-	evYield, evKeep                                                       runEvent
-	evInherit, evStopConfirmed, evEnd, evAbsent, evLapse, evRestarted     runEvent
-	runReserved, runStarting, runRunning, runStopping, runEnding, runGone chart.State
-	runYielding                                                           chart.State
-	releasingStates                                                       chart.StateSet
+	evDispatch, evConfirm, evReported, evRefused, evNoResponse, evStop runEvent
+	evInherit, evStopConfirmed, evEnd, evAbsent, evLapse, evRestarted  runEvent
+	// evYield makes a run yield its capacity, evKeep ends that.
+	evYield, evKeep                                            runEvent
+	runReserved, runStarting, runRunning, runYielding, runGone chart.State
+	// releasingStates are the states of a run whose capacity will soon be free.
+	releasingStates chart.StateSet
 )
 
 func init() {
@@ -78,10 +79,8 @@
 	runStarting = runsChart.MustState("starting")
 	runRunning = runsChart.MustState("running")
 	runYielding = runsChart.MustState("yielding")
-	releasingStates = runsChart.MustSet("yielding", "stopping", "ending")
-	runStopping = runsChart.MustState("stopping")
-	runEnding = runsChart.MustState("ending")
 	runGone = runsChart.MustState("gone")
+	releasingStates = runsChart.MustSet("yielding", "stopping", "ending")
 }
 
 // newRun reserves capacity on the endpoint for a run of the task.
