Name what updateYielding does, and correct three comments

Found while reading the diff: the function also keeps runs, scheduled jobs are rated nowhere else, useOf creates an entry. No behaviour changes.

--- a/planner/account.go
+++ b/planner/account.go
@@ -122,8 +122,8 @@
 	return a
 }
 
-// timeliness rates the current time as the time of the job's end. Jobs with
-// several occurrences are rated by occurrence elsewhere and count as untimed.
+// timeliness rates the current time as the time of the job's end. Scheduled and
+// lasting jobs have no single objective and count as untimed.
 func (j *job) timeliness() Timeliness {
 	queue := j.p.queueOf(j)
 	if queue == nil || j.Occurrences > 0 {
@@ -145,7 +145,7 @@
 	}
 }
 
-// useOf returns the use of a queue.
+// useOf returns the queue's use of the cell, creating it if there is none.
 func (p *Planner) useOf(name jobs.QueueName) *QueueUse {
 	use := p.use[name]
 	if use == nil {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -226,7 +226,7 @@
 	p.openOccurrences()
 	p.withdrawStaleReservations()
 	p.stopStuckRuns()
-	p.stopYielding()
+	p.updateYielding()
 	p.dispatchReserved()
 	p.renewTickets()
 	p.placeAll()
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -147,9 +147,9 @@
 	return r.progressAt.Add(remaining).Before(p.now.Add(p.stopTime))
 }
 
-// stopYielding stops the yielding runs that have not ended within the time of a
-// stop. One whose capacity is no longer reserved goes on.
-func (p *Planner) stopYielding() {
+// updateYielding stops the yielding runs that have not ended within the time of a
+// stop, and keeps those whose capacity is no longer reserved.
+func (p *Planner) updateYielding() {
 	for _, r := range slices.SortedFunc(maps.Keys(p.yielding), compareRuns) {
 		s := p.yielding[r]
 		switch {
