Record what the soak found: seed 345 starts finished tasks again

Seed 345 starts tasks again after their ends were listed, without a take-over, as an endpoint crashes.

--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -44,6 +44,9 @@
 	// discard the ends of the new incarnation, which had the same numbers as ends
 	// that were recorded already.
 	105,
+	// Tasks of a job that was accepted as an endpoint crashed were started again after
+	// their ends had been listed; not traced.
+	345,
 }
 
 // seeds returns the seeds to run: the regressions, SOAK_SEED and the SOAK_SEEDS-1
