Compute a gang's endpoints once, and a job's objective in one place

Found while reading the whole change: renewTickets listed the reserved endpoints of a gang again for each member whose ticket had expired; timeliness repeated the arguments of computeRank's objective, which now takes the queue; five tests built the same configuration of teams, now setTeams of the fixture. The comment on surplus names the take-over. No decision and no assertion changes.

--- a/planner/account.go
+++ b/planner/account.go
@@ -134,7 +134,7 @@
 			return Untimed
 		}
 	}
-	objective := j.objective(queue.Stretch, queue.Objective, queue.Advice.Cost(objectiveAdviceEndpoints))
+	objective := j.objective(queue)
 	switch took := j.p.now.Sub(j.accepted); {
 	case took <= objective:
 		return InTime
--- a/planner/account_test.go
+++ b/planner/account_test.go
@@ -9,7 +9,6 @@
 	"github.com/hornbeamworks/hornbeam/catalog"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
-	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/planner"
 )
 
@@ -26,10 +25,7 @@
 var _ = Describe("The account of a job", func() {
 	It("tells a wait for capacity from one for the team's limit", func() {
 		f := newFixture(1, 1)
-		limited := *f.catalog
-		limited.Version = 2
-		limited.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red"}, "blue": {Name: "blue", Limit: size(1000, 0)}}
-		f.SetCatalog(&limited)
+		f.setTeams(catalog.Team{Name: "red"}, catalog.Team{Name: "blue", Limit: size(1000, 0)})
 		f.submit("full", batch, jobs.Step{Count: 1, Size: size(16000, 100), Estimate: time.Second})
 		first := f.plan()
 		f.start(first)
--- a/planner/advice_test.go
+++ b/planner/advice_test.go
@@ -59,10 +59,7 @@
 
 	It("is requested for work in time before what its team sent beyond its weight", func() {
 		f := newAdvisedFixture(1, shortAdvice)
-		c := *f.catalog
-		c.Version = 3
-		c.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 1}, "blue": {Name: "blue", Weight: 1}}
-		f.SetCatalog(&c)
+		f.setTeams(catalog.Team{Name: "red", Weight: 1}, catalog.Team{Name: "blue", Weight: 1})
 		for i := range 4 {
 			f.submit(jobs.ID(fmt.Sprintf("urgent%d", i)), urgent, single)
 		}
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -121,13 +121,14 @@
 		if p.hasValidTicket(r) || s.advice.outstanding || p.now.Before(s.adviceRetryAt) {
 			continue
 		}
-		if expired[s] == nil {
+		first := expired[s] == nil
+		if first {
 			order = append(order, s)
 		}
-		if s.Gang {
-			expired[s] = s.reservedEndpoints()
-		} else {
+		if !s.Gang {
 			expired[s] = appendUnique(expired[s], r.endpoint)
+		} else if first {
+			expired[s] = s.reservedEndpoints()
 		}
 	}
 	for _, s := range order {
--- a/planner/fixture_test.go
+++ b/planner/fixture_test.go
@@ -91,6 +91,18 @@
 	return model.Resources{model.CPU: cpu, model.Memory: memory}
 }
 
+// setTeams puts a configuration with these teams in force.
+func (f *fixture) setTeams(teams ...catalog.Team) {
+	c := *f.catalog
+	c.Version++
+	c.Teams = map[model.TeamName]*catalog.Team{}
+	for _, team := range teams {
+		c.Teams[team.Name] = &team
+	}
+	f.catalog = &c
+	f.SetCatalog(&c)
+}
+
 // tick advances the clock.
 func (f *fixture) tick(d time.Duration) {
 	f.now = f.now.Add(d)
--- a/planner/job.go
+++ b/planner/job.go
@@ -29,7 +29,8 @@
 	openedOccurrences int
 	liveRuns          int
 	// surplus is set when the team had exceeded its weight at the time the
-	// job was accepted.
+	// job was accepted, or when its more recent jobs use up its burst at a
+	// take-over.
 	surplus bool
 	// waits is the time that its steps have waited, preemptions the number of its
 	// runs that were stopped for more urgent work.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -120,10 +120,7 @@
 	// limit sort first, since their queue has the earlier priority.
 	It("starts in an idle cell although many steps of a team at its limit are before it", func() {
 		f := newFixture(1, 1)
-		limited := *f.catalog
-		limited.Version = 2
-		limited.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red"}, "blue": {Name: "blue", Limit: size(1, 0)}}
-		f.SetCatalog(&limited)
+		f.setTeams(catalog.Team{Name: "red"}, catalog.Team{Name: "blue", Limit: size(1, 0)})
 		for i := range 200 {
 			f.AddJob(&jobs.Job{ID: jobs.ID(fmt.Sprintf("blue%03d", i)), Team: "blue", Queue: urgent, Steps: []jobs.Step{single}, Accepted: f.now.UnixMilli()}, nil)
 		}
@@ -152,10 +149,7 @@
 
 	It("keeps a team within its limit", func() {
 		f := newFixture(1, 2)
-		limited := *f.catalog
-		limited.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red", Limit: size(5000, 0)}}
-		limited.Version = 2
-		f.SetCatalog(&limited)
+		f.setTeams(catalog.Team{Name: "red", Limit: size(5000, 0)})
 		f.submit("a", batch, jobs.Step{Count: 9, Size: size(2000, 100), Estimate: time.Second})
 		Expect(f.plan().Starts).To(HaveLen(2))
 	})
--- a/planner/rank.go
+++ b/planner/rank.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/catalog"
+)
 
 const (
 	// overdueFactor is the multiple of a job's objective after which its
@@ -94,7 +98,7 @@
 		return
 	}
 	start := s.job.occurrenceStart(s.id.Occurrence)
-	objective := s.job.objective(queue.Stretch, queue.Objective, queue.Advice.Cost(objectiveAdviceEndpoints))
+	objective := s.job.objective(queue)
 	remaining := s.job.criticalPath(s.id.Step)
 	s.rank.due = start.Add(objective - remaining)
 	s.lateAt = s.rank.due.Add(-time.Duration(estimateSlack * float64(remaining)))
@@ -111,13 +115,15 @@
 	return j.p.now.Add(-age)
 }
 
-// objective returns the time within which an occurrence should be complete.
-func (j *job) objective(stretch float64, allowance, adviceTime time.Duration) time.Duration {
+// objective returns the time within which an occurrence should be complete by the
+// configuration of the job's queue.
+func (j *job) objective(queue *catalog.Queue) time.Duration {
+	adviceTime := queue.Advice.Cost(objectiveAdviceEndpoints)
 	longest := time.Duration(0)
 	for i := range j.Steps {
 		longest = max(longest, j.criticalPath(i)+adviceTime)
 	}
-	return time.Duration(stretch*float64(longest)) + allowance
+	return time.Duration(queue.Stretch*float64(longest)) + queue.Objective
 }
 
 // criticalPath returns the estimated time of the longest chain of dependent
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -90,10 +90,7 @@
 	// The rows of jobs are read in no particular order.
 	It("counts the most recent jobs of a team as within its weight, and older ones as surplus", func() {
 		f := newFixture(2, 0)
-		c := *f.catalog
-		c.Version = 2
-		c.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 2}}
-		f.SetCatalog(&c)
+		f.setTeams(catalog.Team{Name: "red", Weight: 2})
 		accepted := map[jobs.ID]*jobs.Job{}
 		for i := range 40 {
 			age := time.Duration(40-i) * 100 * time.Millisecond
