Report requests whose connection ends without a complete answer

Cause: callers saw connections end with a request read and neither an answer nor a refusal. No log line or metric told that, nor in which state of the drain, so that a cut by a SIGTERM could not be told from any other.

Change: package httpserve tracks each connection of a caller by the chart http_connection.scxml. It writes request_cut (drain, by, age, bytes, handled) and counts requests_cut. The drain itself stays as it was, in one place now for hornbeam-node, hornbeam-gate and process.ServeHTTP.

Measured: the new tests pass under the race detector, with those of process and gate/httpapi.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/gate"
 	"github.com/hornbeamworks/hornbeam/gate/httpapi"
+	"github.com/hornbeamworks/hornbeam/httpserve"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/membership"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -158,18 +159,26 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
-	callers = httpapi.Listen(callers, limits)
+	server := httpserve.New(p.callersServer(limits), p.log)
+	callers = server.Listen(httpapi.Listen(callers, limits))
 	if p.certificates != nil {
 		callers = tls.NewListener(callers, p.certificates.Config())
 	}
+	p.process.OnDrain(func(ctx context.Context) {
+		server.Drain(ctx, func(ctx context.Context) { httpapi.Drain(ctx, p.front, p.settings.Gate.DrainLinger) })
+	})
+	p.process.ServeUntilStopped(callers, server)
+	return nil
+}
+
+// callersServer returns the server of callers' and operators' requests.
+func (p *program) callersServer(limits httpapi.Limits) *http.Server {
 	server := httpapi.Server(p.front, limits)
 	mux := http.NewServeMux()
 	mux.Handle("/", server.Handler)
 	mux.Handle(operateapi.Root, operateapi.Handler(p.operatorAPI))
 	server.Handler = mux
-	p.process.OnDrain(func(ctx context.Context) { httpapi.Drain(ctx, p.front, server, p.settings.Gate.DrainLinger) })
-	p.process.ServeUntilStopped(callers, server)
-	return nil
+	return server
 }
 
 func (p *program) listenForPeers() error {
--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamworks/hornbeam/feed"
 	"github.com/hornbeamworks/hornbeam/front"
 	"github.com/hornbeamworks/hornbeam/holder"
+	"github.com/hornbeamworks/hornbeam/httpserve"
 	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -168,7 +169,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	n.process.ServeUntilStopped(listener, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	n.process.ServePages(listener, mux)
 	return nil
 }
 
@@ -179,21 +180,17 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
-	server := &http.Server{
+	server := httpserve.New(&http.Server{
 		Handler:           platform.NewCalls(n.front),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
-	}
+	}, n.log)
 	n.process.OnDrain(func(ctx context.Context) {
-		server.SetKeepAlivesEnabled(false)
-		sleepContext(ctx, n.settings.Drain.Linger)
-		if err := server.Shutdown(ctx); err != nil {
-			n.log.Warn("calls_cut_off", slog.Any("error", err))
-		}
+		server.Drain(ctx, func(ctx context.Context) { sleepContext(ctx, n.settings.Drain.Linger) })
 	})
 	n.process.OnDrain(n.election.Resign)
-	n.process.ServeUntilStopped(listener, server)
+	n.process.ServeUntilStopped(server.Listen(listener), server)
 	return nil
 }
 
--- a/gate/httpapi/holder_test.go
+++ b/gate/httpapi/holder_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/gate"
 	"github.com/hornbeamworks/hornbeam/gate/httpapi"
+	"github.com/hornbeamworks/hornbeam/httpserve"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peer"
@@ -168,7 +168,7 @@
 	view      *view
 	admission *gate.Admission
 	gate      *gate.Gate
-	server    *http.Server
+	server    *httpserve.Server
 }
 
 // The secrets of the keys in testConfig.
@@ -208,7 +208,7 @@
 	router := routing.NewRouter(routing.DefaultSettings(), system, routing.Addresses{"a": {"pa"}, "b": {"pb"}})
 	f.admission = gate.NewAdmission(settings, system, f.view)
 	f.gate = gate.New(settings, system, f.admission, routing.NewCaller(router, f.holder, system), logging.Discard())
-	f.server = httpapi.Server(f.gate, limits)
+	f.server = httpserve.New(httpapi.Server(f.gate, limits), logging.Discard())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.address = listener.Addr().String()
@@ -216,10 +216,7 @@
 	group := duty.NewGroup(context.Background())
 	group.Start(router, f.admission)
 	group.Serve(func(context.Context) error {
-		if err := f.server.Serve(httpapi.Listen(listener, limits)); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
+		return f.server.Serve(f.server.Listen(httpapi.Listen(listener, limits)))
 	})
 	Expect(f.admission.SetConfig(testConfig(1))).To(BeTrue())
 	DeferCleanup(func() {
--- a/gate/httpapi/httpapi.go
+++ b/gate/httpapi/httpapi.go
@@ -190,13 +190,11 @@
 	return answer
 }
 
-// Drain refuses new calls with a result code for at least linger, waits for those
-// in flight to end and shuts the server down. It returns when that is done or ctx
-// ends.
-func Drain(ctx context.Context, g *gate.Gate, server *http.Server, linger time.Duration) {
+// Drain refuses new calls with a result code for at least linger and waits for those
+// in flight to end. It returns when that is done or ctx ends.
+func Drain(ctx context.Context, g *gate.Gate, linger time.Duration) {
 	lingerCtx, cancel := context.WithTimeout(ctx, linger)
 	defer cancel()
 	g.Drain(ctx)
 	<-lingerCtx.Done()
-	_ = server.Shutdown(ctx)
 }
--- a/gate/httpapi/httpapi_test.go
+++ b/gate/httpapi/httpapi_test.go
@@ -212,7 +212,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 			defer cancel()
-			httpapi.Drain(ctx, f.gate, f.server, 0)
+			f.server.Drain(ctx, func(ctx context.Context) { httpapi.Drain(ctx, f.gate, 0) })
 			close(drained)
 		}()
 		Eventually(func() result.Code { return result.Code(f.submit("lot-19").Code) }).WithTimeout(waitTimeout).Should(Equal(result.Draining))
--- a/process/http.go
+++ b/process/http.go
@@ -10,16 +10,26 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hornbeamworks/hornbeam/httpserve"
 )
 
 // headerTimeout bounds the time in which a client sends its request header.
 const headerTimeout = 5 * time.Second
 
-// ServeHTTP serves on the listener until the process stops. On drain the
-// server takes no new connections and lets every request finish.
+// ServeHTTP serves on the listener until the process stops. On drain every request
+// in progress is answered.
 func (p *Process) ServeHTTP(listener net.Listener, server *http.Server) {
-	p.OnDrain(func(ctx context.Context) { _ = server.Shutdown(ctx) })
-	p.ServeUntilStopped(listener, server)
+	tracked := httpserve.New(server, p.log)
+	p.OnDrain(func(ctx context.Context) { tracked.Drain(ctx, func(context.Context) {}) })
+	p.ServeUntilStopped(tracked.Listen(listener), tracked)
+}
+
+// HTTPServer is a server that ServeUntilStopped runs: Serve returns nil after the
+// server has been drained or closed.
+type HTTPServer interface {
+	Serve(net.Listener) error
+	Close() error
 }
 
 // ServeAdmin serves the admin pages at the address. They are served until the
@@ -29,36 +39,50 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for the admin pages")
 	}
-	p.ServeUntilStopped(listener, p.adminServer())
+	p.ServePages(listener, p.adminPages())
 	return nil
 }
 
-// ServeUntilStopped serves on the listener until the server is shut down or the
+// ServeUntilStopped serves on the listener until the server is drained or the
 // process stops. It registers no drainer: the caller does that when the server
 // has to drain.
-func (p *Process) ServeUntilStopped(listener net.Listener, server *http.Server) {
+func (p *Process) ServeUntilStopped(listener net.Listener, server HTTPServer) {
 	p.group.Serve(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return eris.Wrap(err, "serving HTTP")
+		return server.Serve(listener)
 	})
 }
 
-// adminServer returns the server of the admin pages: /readyz for the load
+// pages is the server of pages for machines, which are not drained.
+type pages struct{ *http.Server }
+
+// Serve implements HTTPServer.
+func (s pages) Serve(listener net.Listener) error {
+	err := s.Server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serving HTTP")
+}
+
+// ServePages serves pages for machines, such as the readiness page, until the process
+// stops.
+func (p *Process) ServePages(listener net.Listener, handler http.Handler) {
+	p.ServeUntilStopped(listener, pages{&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}})
+}
+
+// adminPages returns the admin pages: /readyz for the load
 // balancer, /healthz, /debug/vars for metrics, /debug/pprof/profile?seconds= for
 // a CPU profile and PUT /debug/level?level= for the log level.
-func (p *Process) adminServer() *http.Server {
+func (p *Process) adminPages() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", p.readyz)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("PUT /debug/level", p.setLevel)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return mux
 }
 
 func (p *Process) readyz(w http.ResponseWriter, _ *http.Request) {
