Answer every request that was read before or during a drain

Cause: callers got neither an answer nor a refusal around a SIGTERM. The drain used SetKeepAlivesEnabled(false) and Shutdown of net/http. Shutdown discards each request that it reads after it has begun on a connection accepted before, and both close a connection as idle whose next request has arrived or was read in part.

Change: httpserve has a drain of its own. Until the linger time ends, connections are accepted and each answer carries Connection: close; then the listener's queue is served and the listener closed. A connection ends only if its own read, which decides, has no byte of a request; bytes that were read are always served. Requests in progress are answered until the drain timeout.

Measured: on the old drain 5 of the 17 tests of httpserve failed (an idle connection while the drain lingers, half a header on a new and on an idle connection, a second request before the first answer, connections in the listener's queue). On the new one all pass, 5 runs under the race detector, and so do process, gate/httpapi, charts, certificate.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -160,7 +160,7 @@
 		return eris.Wrap(err, "listening for callers")
 	}
 	server := httpserve.New(p.callersServer(limits), p.log)
-	callers = server.Listen(httpapi.Listen(callers, limits))
+	callers = server.Listen(callers, func(l net.Listener) net.Listener { return httpapi.Listen(l, limits) })
 	if p.certificates != nil {
 		callers = tls.NewListener(callers, p.certificates.Config())
 	}
--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -190,7 +190,7 @@
 		server.Drain(ctx, func(ctx context.Context) { sleepContext(ctx, n.settings.Drain.Linger) })
 	})
 	n.process.OnDrain(n.election.Resign)
-	n.process.ServeUntilStopped(server.Listen(listener), server)
+	n.process.ServeUntilStopped(server.Listen(listener, nil), server)
 	return nil
 }
 
--- a/gate/httpapi/holder_test.go
+++ b/gate/httpapi/holder_test.go
@@ -216,7 +216,7 @@
 	group := duty.NewGroup(context.Background())
 	group.Start(router, f.admission)
 	group.Serve(func(context.Context) error {
-		return f.server.Serve(f.server.Listen(httpapi.Listen(listener, limits)))
+		return f.server.Serve(f.server.Listen(listener, func(l net.Listener) net.Listener { return httpapi.Listen(l, limits) }))
 	})
 	Expect(f.admission.SetConfig(testConfig(1))).To(BeTrue())
 	DeferCleanup(func() {
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -18,6 +19,13 @@
 var evBytesRead, evNextRead, evWritten, evWriteFailed chart.Event
 var evHandlerBegun, evHandlerReturned, evIdle, evClosed chart.Event
 
+// stateWaiting is the state in which no byte of a request has been read.
+var stateWaiting chart.State
+
+// lastReadTime bounds the last read of a connection that ends. It covers the time for
+// which a goroutine may wait for the CPU on a small instance.
+const lastReadTime = 20 * time.Millisecond
+
 func init() {
 	machine = chart.MustBind(charts.MustLoad("http_connection"),
 		chart.Guards[conn]{},
@@ -30,6 +38,7 @@
 	evHandlerReturned = machine.MustEvent("handler_returned")
 	evIdle = machine.MustEvent("idle")
 	evClosed = machine.MustEvent("closed")
+	stateWaiting = machine.MustState("waiting")
 }
 
 // conn is a caller's connection. It records whether a request has been read that has
@@ -52,15 +61,74 @@
 	// when the caller closed the connection.
 	failure  error
 	byCaller bool
+	// deadline is the deadline of reads that net/http has set. While ending is set
+	// another one is in force, so that a read without bytes returns.
+	deadline time.Time
+	ending   bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. At the end of a drain it returns io.EOF if no byte of a
+// request has been read. Bytes that it has read are never discarded.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && isTimeout(err) && c.beginLastRead() {
+		n, err = c.Conn.Read(p)
+		if n == 0 && isTimeout(err) {
+			return 0, io.EOF
+		}
+	}
 	c.recordRead(len(p), n, err)
 	return n, err
 }
 
+// end makes the connection end unless bytes of a request have been read.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endWaiting()
+}
+
+// endWaiting interrupts the read of a waiting connection. The caller holds mu.
+func (c *conn) endWaiting() {
+	if c.state != stateWaiting || c.ending {
+		return
+	}
+	c.ending = true
+	c.setReadDeadline(time.Now())
+}
+
+// beginLastRead reports whether the read was interrupted by end. It then allows one
+// more, for bytes that had arrived but were not read.
+func (c *conn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		return false
+	}
+	c.setReadDeadline(time.Now().Add(lastReadTime))
+	return true
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// setReadDeadline sets the deadline of the socket. It fails only on a closed
+// connection, whose reads then return that error.
+func (c *conn) setReadDeadline(t time.Time) { _ = c.Conn.SetReadDeadline(t) }
+
 // recordRead records the result of a read into size bytes. While a handler runs
 // net/http reads a single byte, the first one after the request's body.
 func (c *conn) recordRead(size, n int, err error) {
@@ -98,7 +166,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.record(evClosed)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.server.untrack(c)
+	return err
 }
 
 // CloseWrite closes the sending side, as net/http does after an answer to a request
@@ -119,14 +189,22 @@
 
 // fire processes the event. The caller holds mu.
 func (c *conn) fire(event chart.Event) {
+	machine.Fire(&c.state, event, c)
 	if event == evHandlerBegun {
 		c.handled = true
 	}
-	machine.Fire(&c.state, event, c)
+	if event == evIdle && c.server.is(finishing) {
+		c.endWaiting()
+	}
 }
 
+// beginRequest starts a request. The connection does not end before its answer.
 func (c *conn) beginRequest() {
 	c.began, c.bytes, c.handled = time.Now(), 0, false
+	if c.ending {
+		c.ending = false
+		c.setReadDeadline(c.deadline)
+	}
 }
 
 // reportCut reports that the connection ends with a request that has no complete
--- a/httpserve/fixture_test.go
+++ b/httpserve/fixture_test.go
@@ -37,15 +37,16 @@
 }
 
 func newFixture() *fixture {
-	f := &fixture{log: gbytes.NewBuffer(), arrived: make(chan struct{}, 64), release: make(chan struct{}), linger: make(chan struct{})}
+	f := &fixture{log: gbytes.NewBuffer(), arrived: make(chan struct{}, 256), release: make(chan struct{}), linger: make(chan struct{})}
 	log, err := logging.New(f.log, "test", logging.Settings{Level: "info"}, clock.System{})
 	Expect(err).NotTo(HaveOccurred())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.address = listener.Addr().String()
 	f.server = httpserve.New(&http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: time.Second}, log)
+	tracked := f.server.Listen(listener, nil)
 	served := make(chan error, 1)
-	go func() { served <- f.server.Serve(f.server.Listen(listener)) }()
+	go func() { served <- f.server.Serve(tracked) }()
 	DeferCleanup(func() {
 		Expect(f.server.Close()).To(Succeed())
 		Eventually(served).WithTimeout(waitTimeout).Should(Receive(BeNil()))
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -31,32 +32,42 @@
 // phaseNames are the names of the phases in logs and metrics.
 var phaseNames = map[phase]string{serving: "serving", lingering: "lingering", finishing: "finishing"}
 
-// Server serves HTTP on one listener.
+// Server serves HTTP on one listener. Its drain takes the place of that of net/http,
+// which discards requests that it reads once Shutdown has begun, and closes idle
+// connections whose next request has been read.
 type Server struct {
-	http  *http.Server
-	log   *logging.Logger
+	http *http.Server
+	log  *logging.Logger
+	// acceptor is the listener, served is closed when Serve has returned.
+	acceptor *acceptor
+	served   chan struct{}
+
 	phase atomic.Int32
+	// mu guards open, the connections that are not closed: each is opened and closed
+	// on a goroutine of its own.
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	// quiet is closed when a drain is finishing and no connection is open.
+	quiet chan struct{}
 }
 
 // New returns a server that serves by the settings of server, whose Handler,
 // ConnState and ConnContext it replaces.
 func New(server *http.Server, log *logging.Logger) *Server {
-	s := &Server{http: server, log: log}
+	s := &Server{
+		http: server, log: log, served: make(chan struct{}),
+		open: map[*conn]struct{}{}, quiet: make(chan struct{}),
+	}
 	server.Handler = s.handler(server.Handler)
 	server.ConnState = recordIdle
 	server.ConnContext = withConn
 	return s
 }
 
-// Listen returns a listener whose connections the server tracks. A TLS listener is
-// built on top of it.
-func (s *Server) Listen(listener net.Listener) net.Listener {
-	return &acceptor{Listener: listener, server: s}
-}
-
-// Serve serves on a listener that Listen has returned, or on a TLS listener on top
+// Serve serves on the listener that Listen has returned, or on a TLS listener on top
 // of it, until Drain or Close.
 func (s *Server) Serve(listener net.Listener) error {
+	defer close(s.served)
 	err := s.http.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -67,39 +78,67 @@
 // Close closes the listener and all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
-// Drain serves until linger returns, closing each connection after its answer, and
-// then waits for the calls in flight until ctx ends.
+// Drain serves until linger returns, closing each connection after its answer. It
+// then accepts no more connections, ends those on which no byte of a request has been
+// read, and waits for the answers on the others until ctx ends.
 func (s *Server) Drain(ctx context.Context, linger func(context.Context)) {
 	s.phase.Store(int32(lingering))
-	s.http.SetKeepAlivesEnabled(false)
 	linger(ctx)
-	s.phase.Store(int32(finishing))
-	if err := s.http.Shutdown(ctx); err != nil {
-		s.log.Warn("calls_cut_off", slog.Any("error", err))
+	s.acceptor.stop(ctx)
+	s.finish()
+	select {
+	case <-s.quiet:
+	case <-ctx.Done():
+		s.log.Warn("calls_cut_off", slog.Int("connections", s.connections()))
 	}
 }
 
-// acceptor is a listener whose connections are tracked.
-type acceptor struct {
-	net.Listener
-	server *Server
+// finish ends the connections without a request. One that is idle later ends itself.
+func (s *Server) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.phase.Store(int32(finishing))
+	for c := range s.open {
+		c.end()
+	}
+	s.closeIfQuiet()
 }
 
-// Accept implements net.Listener.
-func (a *acceptor) Accept() (net.Conn, error) {
-	accepted, err := a.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return a.server.track(accepted), nil
+func (s *Server) is(p phase) bool { return s.phase.Load() == int32(p) }
+
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
 }
 
 func (s *Server) track(accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, server: s}
 	machine.Start(&c.state, c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = struct{}{}
 	return c
 }
 
+func (s *Server) untrack(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, found := s.open[c]; !found {
+		return
+	}
+	delete(s.open, c)
+	s.closeIfQuiet()
+}
+
+// closeIfQuiet closes quiet when the last connection has ended. No connection is
+// accepted once the drain is finishing. The caller holds mu.
+func (s *Server) closeIfQuiet() {
+	if s.is(finishing) && len(s.open) == 0 {
+		close(s.quiet)
+	}
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -125,13 +164,14 @@
 }
 
 // handler records when the handler of a request begins and when it returns. A
-// handler that panics does not return.
+// handler that panics does not return. During a drain the connection ends with the
+// answer; a caller that sends several requests at once repeats the others elsewhere
+// (RFC 9112, 9.6).
 func (s *Server) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
-		if c == nil {
-			next.ServeHTTP(w, r)
-			return
+		if !s.is(serving) {
+			w.Header().Set("Connection", "close")
 		}
 		c.record(evHandlerBegun)
 		next.ServeHTTP(w, r)
--- a/process/http.go
+++ b/process/http.go
@@ -22,7 +22,7 @@
 func (p *Process) ServeHTTP(listener net.Listener, server *http.Server) {
 	tracked := httpserve.New(server, p.log)
 	p.OnDrain(func(ctx context.Context) { tracked.Drain(ctx, func(context.Context) {}) })
-	p.ServeUntilStopped(tracked.Listen(listener), tracked)
+	p.ServeUntilStopped(tracked.Listen(listener, nil), tracked)
 }
 
 // HTTPServer is a server that ServeUntilStopped runs: Serve returns nil after the
