Keep signals that arrive before the process runs

Cause: hornbeam-node and hornbeam-gate serve callers before Run registered SIGTERM and SIGHUP.

Change: process.New registers the signals, before any listener is opened. Run handles those that have come.

--- a/process/process.go
+++ b/process/process.go
@@ -40,6 +40,11 @@
 	group        *duty.Group
 	lifecycle    *duty.Duty[message]
 	cancel       context.CancelFunc
+	// terminated ends with the first SIGTERM or SIGINT. sighups holds a SIGHUP until
+	// it is handled. stopSignals restores the default handling.
+	terminated  context.Context
+	sighups     chan os.Signal
+	stopSignals func()
 
 	// ready is written by the lifecycle duty and read by HTTP handlers.
 	ready atomic.Bool
@@ -58,7 +63,9 @@
 // message is an event of the life cycle.
 type message struct{ event chart.Event }
 
-// New returns a process that has not started. Drainers may take drainTimeout.
+// New returns a process that has not started. Drainers may take drainTimeout. From
+// now on signals are kept for Run, so that none ends the process while it is set up
+// and may serve already.
 func New(log *logging.Logger, c clock.Clock, drainTimeout time.Duration) *Process {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{
@@ -67,7 +74,10 @@
 		drainTimeout: drainTimeout,
 		group:        duty.NewGroup(ctx),
 		cancel:       cancel,
+		sighups:      make(chan os.Signal, 1),
 	}
+	p.terminated, p.stopSignals = signal.NotifyContext(p.group.Context(), syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(p.sighups, syscall.SIGHUP)
 	p.lifecycle = duty.New("process", ringSize, duty.HandlerFunc[message](p.handle))
 	machine.Start(&p.state, p)
 	return p
@@ -103,16 +113,14 @@
 
 // serveReloads calls the registered handlers at each SIGHUP until the process
 // stops.
-func (p *Process) serveReloads(sighups <-chan os.Signal) func(context.Context) error {
-	return func(ctx context.Context) error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-sighups:
-				for _, reload := range p.reloadFuncs {
-					reload()
-				}
+func (p *Process) serveReloads(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.sighups:
+			for _, reload := range p.reloadFuncs {
+				reload()
 			}
 		}
 	}
@@ -121,13 +129,10 @@
 // Run runs the process until it stops and returns the first error of its duties,
 // or ErrDrainTimeout.
 func (p *Process) Run() error {
-	signals, stop := signal.NotifyContext(p.group.Context(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	defer context.AfterFunc(signals, p.Terminate)()
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
-	p.group.Serve(p.serveReloads(sighups))
+	defer p.stopSignals()
+	defer signal.Stop(p.sighups)
+	defer context.AfterFunc(p.terminated, p.Terminate)()
+	p.group.Serve(p.serveReloads)
 	p.group.Start(p.lifecycle)
 	if err := p.group.Wait(); err != nil {
 		return err
