Wait for the first request of a connection at the end of a drain

Cause: callers whose connection was accepted at the end of the linger time found it closed when their request arrived some milliseconds later: a read of 20 ms was the last one.

Change: a connection that has had no request yet, for which the chart has a state of its own, is read for 500 ms more.

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -19,12 +19,21 @@
 var evBytesRead, evNextRead, evWritten, evWriteFailed chart.Event
 var evHandlerBegun, evHandlerReturned, evIdle, evClosed chart.Event
 
-// stateWaiting is the state in which no byte of a request has been read.
-var stateWaiting chart.State
+// stateAccepted is the state before the first byte. unrequested are the states in
+// which no byte of a request has been read.
+var (
+	stateAccepted chart.State
+	unrequested   chart.StateSet
+)
 
-// lastReadTime bounds the last read of a connection that ends. It covers the time for
-// which a goroutine may wait for the CPU on a small instance.
-const lastReadTime = 20 * time.Millisecond
+const (
+	// lastReadTime bounds the last read of a connection that ends. It covers the time
+	// for which a goroutine may wait for the CPU on a small instance.
+	lastReadTime = 20 * time.Millisecond
+	// firstReadTime bounds it on a connection that has had no request. Its first one
+	// is on its way, which takes a few round trips.
+	firstReadTime = 500 * time.Millisecond
+)
 
 func init() {
 	machine = chart.MustBind(charts.MustLoad("http_connection"),
@@ -38,7 +47,8 @@
 	evHandlerReturned = machine.MustEvent("handler_returned")
 	evIdle = machine.MustEvent("idle")
 	evClosed = machine.MustEvent("closed")
-	stateWaiting = machine.MustState("waiting")
+	stateAccepted = machine.MustState("accepted")
+	unrequested = machine.MustSet("accepted", "waiting")
 }
 
 // conn is a caller's connection. It records whether a request has been read that has
@@ -88,9 +98,10 @@
 	c.endWaiting()
 }
 
-// endWaiting interrupts the read of a waiting connection. The caller holds mu.
+// endWaiting interrupts the read of a connection without a request. The caller holds
+// mu.
 func (c *conn) endWaiting() {
-	if c.state != stateWaiting || c.ending {
+	if !unrequested.Has(c.state) || c.ending {
 		return
 	}
 	c.ending = true
@@ -105,7 +116,11 @@
 	if !c.ending {
 		return false
 	}
-	c.setReadDeadline(time.Now().Add(lastReadTime))
+	allowed := lastReadTime
+	if c.state == stateAccepted {
+		allowed = firstReadTime
+	}
+	c.setReadDeadline(time.Now().Add(allowed))
 	return true
 }
 
--- a/httpserve/drain_test.go
+++ b/httpserve/drain_test.go
@@ -59,6 +59,16 @@
 		Eventually(done).WithTimeout(waitTimeout).Should(BeClosed())
 	})
 
+	It("when it is on its way on a new connection at the end of the linger time", func() {
+		c := f.connect()
+		done := f.drain(waitTimeout)
+		close(f.linger)
+		time.Sleep(3 * settle)
+		c.send(whole)
+		c.expectAnswer("ok")
+		Eventually(done).WithTimeout(waitTimeout).Should(BeClosed())
+	})
+
 	It("when half of its header was read before the linger time ended", func() {
 		c := f.connect()
 		c.send(whole[:20])
