Give requests of a drain a deadline before its end

Cause: a request that is read at the end of the linger time, 2.3 s after SIGTERM, may wait 3 s for a slow table by its caller's deadline, while the drain ends 5 s after SIGTERM: the process stopped with the request unanswered.

Change: the context of a request that is read during a drain ends 0.5 s before the drain does. hornbeam-node then answers, as at a caller's deadline, "not run" if no writer has taken the submission and "outcome unknown" if one has.

Measured: the new test (a handler that waits for its context during a drain) was cut off before and is answered now; all 19 of httpserve pass under the race detector.

--- a/httpserve/drain_test.go
+++ b/httpserve/drain_test.go
@@ -222,6 +222,17 @@
 		close(f.release)
 	})
 
+	It("ends the wait of a request of the drain in time for its answer", func() {
+		done := f.drain(20 * settle)
+		c := f.connect()
+		c.send("GET /waiting HTTP/1.1\r\nHost: x\r\n\r\n")
+		Eventually(f.arrived).WithTimeout(waitTimeout).Should(Receive())
+		close(f.linger)
+		c.expectAnswer("ok")
+		Eventually(done).WithTimeout(waitTimeout).Should(BeClosed())
+		Expect(f.log).NotTo(gbytes.Say("calls_cut_off"))
+	})
+
 	It("does not wait for a caller that never completes its header", func() {
 		c := f.connect()
 		c.send(strings.TrimSuffix(whole, "\n"))
--- a/httpserve/fixture_test.go
+++ b/httpserve/fixture_test.go
@@ -25,7 +25,8 @@
 )
 
 // fixture is a server whose handler answers /quick at once, /slow after release is
-// closed, /echo with the body, and panics on /panic.
+// closed, /waiting after its context has ended, /echo with the body, and panics on
+// /panic.
 type fixture struct {
 	server  *httpserve.Server
 	address string
@@ -59,6 +60,11 @@
 	switch r.URL.Path {
 	case "/slow":
 		<-f.release
+	case "/waiting":
+		select {
+		case <-r.Context().Done():
+		case <-f.release:
+		}
 	case "/panic":
 		panic(http.ErrAbortHandler)
 	case "/echo":
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,6 +30,10 @@
 	finishing
 )
 
+// answerTime is the time before the end of a drain in which the answers are written
+// that were still awaited.
+const answerTime = 500 * time.Millisecond
+
 // phaseNames are the names of the phases in logs and metrics.
 var phaseNames = map[phase]string{serving: "serving", lingering: "lingering", finishing: "finishing"}
 
@@ -43,6 +48,9 @@
 	served   chan struct{}
 
 	phase atomic.Int32
+	// answerBy is the deadline of the requests that are read during a drain; nil if
+	// the drain has none.
+	answerBy atomic.Pointer[time.Time]
 	// mu guards open, the connections that are not closed: each is opened and closed
 	// on a goroutine of its own.
 	mu   sync.Mutex
@@ -80,8 +88,14 @@
 
 // Drain serves until linger returns, closing each connection after its answer. It
 // then accepts no more connections, ends those on which no byte of a request has been
-// read, and waits for the answers on the others until ctx ends.
+// read, and waits for the answers on the others until ctx ends. The contexts of
+// requests that are read during the drain end answerTime before ctx, so that their
+// handlers answer with what is certain by then.
 func (s *Server) Drain(ctx context.Context, linger func(context.Context)) {
+	if end, bounded := ctx.Deadline(); bounded {
+		answerBy := end.Add(-answerTime)
+		s.answerBy.Store(&answerBy)
+	}
 	s.phase.Store(int32(lingering))
 	linger(ctx)
 	s.acceptor.stop(ctx)
@@ -170,11 +184,25 @@
 func (s *Server) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
-		if !s.is(serving) {
+		c.record(evHandlerBegun)
+		if s.is(serving) {
+			next.ServeHTTP(w, r)
+		} else {
 			w.Header().Set("Connection", "close")
+			s.serveInDrain(next, w, r)
 		}
-		c.record(evHandlerBegun)
-		next.ServeHTTP(w, r)
 		c.record(evHandlerReturned)
 	})
 }
+
+// serveInDrain calls the handler with the deadline of the drain.
+func (s *Server) serveInDrain(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	answerBy := s.answerBy.Load()
+	if answerBy == nil {
+		next.ServeHTTP(w, r)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), *answerBy)
+	defer cancel()
+	next.ServeHTTP(w, r.WithContext(ctx))
+}
