Read what has arrived before an idle connection ends

The last read of 20 ms timed out although the bytes had come, since the instance waited for the CPU.

Change: after the last read has timed out the sending side is closed only if the buffer is empty, in one step; otherwise the connection is read again.

Measured: the new test (the read times out, the bytes arrive, the read returns) failed before with a reset connection and passes now, with all 20 of httpserve, under the race detector.

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hornbeamworks/hornbeam/chart"
 	"github.com/hornbeamworks/hornbeam/charts"
 )
@@ -81,9 +84,9 @@
 // request has been read. Bytes that it has read are never discarded.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && isTimeout(err) && c.beginLastRead() {
+	for n == 0 && isTimeout(err) && c.beginLastRead() {
 		n, err = c.Conn.Read(p)
-		if n == 0 && isTimeout(err) {
+		if n == 0 && isTimeout(err) && c.endEmpty() {
 			return 0, io.EOF
 		}
 	}
@@ -124,6 +127,26 @@
 	return true
 }
 
+// endEmpty closes the sending side unless bytes have arrived: a read on a busy instance
+// may time out though they have. It reports whether none had.
+func (c *conn) endEmpty() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	arrived := 0
+	err = raw.Control(func(fd uintptr) {
+		if arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && arrived == 0 {
+			err = unix.Shutdown(int(fd), unix.SHUT_WR)
+		}
+	})
+	return err != nil || arrived == 0
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/httpserve/fixture_test.go
+++ b/httpserve/fixture_test.go
@@ -37,7 +37,10 @@
 	linger chan struct{}
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return newLimitedFixture(nil) }
+
+// newLimitedFixture returns a fixture whose connections are accepted through limit.
+func newLimitedFixture(limit func(net.Listener) net.Listener) *fixture {
 	f := &fixture{log: gbytes.NewBuffer(), arrived: make(chan struct{}, 256), release: make(chan struct{}), linger: make(chan struct{})}
 	log, err := logging.New(f.log, "test", logging.Settings{Level: "info"}, clock.System{})
 	Expect(err).NotTo(HaveOccurred())
@@ -45,7 +48,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	f.address = listener.Addr().String()
 	f.server = httpserve.New(&http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: time.Second}, log)
-	tracked := f.server.Listen(listener, nil)
+	tracked := f.server.Listen(listener, limit)
 	served := make(chan error, 1)
 	go func() { served <- f.server.Serve(tracked) }()
 	DeferCleanup(func() {
--- /dev/null
+++ b/httpserve/late_test.go
@@ -0,0 +1,66 @@
+package httpserve_test
+
+import (
+	"net"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// lateListener accepts connections whose reads that have timed out return after
+// resume, as on an instance that waits for the CPU.
+type lateListener struct {
+	net.Listener
+	timedOut, resume chan struct{}
+}
+
+type lateConn struct {
+	*net.TCPConn
+	listener *lateListener
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: accepted.(*net.TCPConn), listener: l}, nil
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if os.IsTimeout(err) {
+		select {
+		case c.listener.timedOut <- struct{}{}:
+			<-c.listener.resume
+		case <-c.listener.resume:
+		}
+	}
+	return n, err
+}
+
+var _ = Describe("A slow instance at the end of a drain", func() {
+	// The last read of a connection timed out, and the connection was closed with
+	// a request in its buffer.
+	It("answers a request that arrives as the last read times out", func() {
+		late := &lateListener{timedOut: make(chan struct{}), resume: make(chan struct{})}
+		f := newLimitedFixture(func(socket net.Listener) net.Listener {
+			late.Listener = socket
+			return late
+		})
+		c := f.connect()
+		time.Sleep(settle)
+		done := f.drain(waitTimeout)
+		close(f.linger)
+		Eventually(late.timedOut).WithTimeout(waitTimeout).Should(Receive())
+		late.resume <- struct{}{}
+		Eventually(late.timedOut).WithTimeout(waitTimeout).Should(Receive())
+		c.send(whole)
+		time.Sleep(settle)
+		close(late.resume)
+		c.expectAnswer("ok")
+		Eventually(done).WithTimeout(waitTimeout).Should(BeClosed())
+	})
+})
