Bound registered capacities, so that free capacity does not overflow

An endpoint with runs in progress got any number of further starts after an entry whose capacity was the smallest int64, which is what a number that no int64 represents becomes on some processors: the free capacity, the capacity less what runs take, wrapped around to a large positive number.

Amounts are bounded to 0 and 2^50. Free and planned capacity follow from the capacity and the sums of the runs instead of from a chain of differences, so that no entry leaves a trace in them.

--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -27,6 +27,9 @@
 	// refusalBackoff is how long an endpoint that refused a start gets no
 	// further ones.
 	refusalBackoff = 300 * time.Millisecond
+	// maxAmount bounds each amount of a registered capacity, in the resource's
+	// unit, so that sums of capacities and sizes don't overflow.
+	maxAmount = 1 << 50
 )
 
 // endpoint is an endpoint with its runs.
@@ -34,10 +37,11 @@
 	fleet.Endpoint
 	state chart.State
 	runs  map[*run]bool
-	// used is the capacity that dispatched runs take, free the remaining
-	// capacity. planned is the capacity that is free once all reservations
-	// are used and all stops are done.
-	used, free, planned model.Resources
+	// used is the capacity that dispatched runs take, committed what runs and
+	// reservations take once all stops are done. free and planned are what
+	// these leave of the capacity; they are negative after the capacity has
+	// shrunk below them.
+	used, committed, free, planned model.Resources
 	// capacitySeq is the planner's capacitySeq when capacity was last freed
 	// on this endpoint.
 	capacitySeq uint64
@@ -171,12 +175,13 @@
 
 func (e *endpoint) addRun(r *run) {
 	e.runs[r] = true
-	e.planned = e.planned.Sub(r.size)
+	e.committed = e.committed.Add(r.size)
+	e.updateFree()
 }
 
 func (e *endpoint) markDispatched(r *run) {
 	e.used = e.used.Add(r.size)
-	e.free = e.free.Sub(r.size)
+	e.updateFree()
 }
 
 // updateReleasing records whether the run's capacity will soon be free.
@@ -186,25 +191,32 @@
 	}
 	r.releasing = releasing
 	if releasing {
-		e.planned = e.planned.Add(r.size)
+		e.committed = e.committed.Sub(r.size)
 	} else {
-		e.planned = e.planned.Sub(r.size)
+		e.committed = e.committed.Add(r.size)
 	}
+	e.updateFree()
 }
 
 func (e *endpoint) removeRun(r *run) {
 	delete(e.runs, r)
 	e.used = e.used.Sub(r.size)
-	e.free = e.free.Add(r.size)
-	e.planned = e.planned.Add(r.size)
+	e.committed = e.committed.Sub(r.size)
+	e.updateFree()
 }
 
-// setEntry applies a registry entry and the change of capacity in it.
+// setEntry applies a registry entry. The capacity in it may differ from that of
+// the previous entry while runs are in progress.
 func (e *endpoint) setEntry(entry fleet.Endpoint) {
-	added := entry.Capacity.Sub(e.Capacity)
+	for i, amount := range entry.Capacity {
+		entry.Capacity[i] = min(max(amount, 0), maxAmount)
+	}
 	e.Endpoint = entry
-	e.free = e.free.Add(added)
-	e.planned = e.planned.Add(added)
+	e.updateFree()
+}
+
+func (e *endpoint) updateFree() {
+	e.free, e.planned = e.Capacity.Sub(e.used), e.Capacity.Sub(e.committed)
 }
 
 // markFreed records that a waiting step may now fit on the endpoint.
