Withdraw reservations that no longer fit on a shrunk endpoint

A task whose capacity was being freed on an endpoint (a preemption, or a renewal of its ticket) kept its reservation after the endpoint had shrunk, although it could not start there: it waited for the reservation to time out after 3.5 s while other endpoints were idle.

Reservations are withdrawn as far as the planned capacity is exceeded, those of the last steps first, a gang's as a whole. Runs in progress beyond the capacity are left to end.

--- a/planner/capacity_test.go
+++ b/planner/capacity_test.go
@@ -7,8 +7,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
 )
 
 // resize registers another capacity for the i-th endpoint.
@@ -42,4 +44,66 @@
 		f.submit("b", batch, jobs.Step{Count: 4, Size: size(4000, 100), Estimate: time.Second})
 		Expect(f.plan().Starts).To(HaveLen(3))
 	})
+
+	// preempting returns a cell whose first endpoint is full and has a reservation of
+	// 8 cores for job b, which waits for the stop of a less urgent run. The second
+	// endpoint, of 16 cores, has come later.
+	preempting := func(step jobs.Step) (*fixture, planner.Start) {
+		f := newFixture(1, 1)
+		f.SetStopTime(400 * time.Millisecond)
+		f.submit("a", batch, jobs.Step{Count: 1, Size: size(16000, 100), Checkpoints: true, Estimate: time.Minute})
+		first := f.plan()
+		f.start(first)
+		f.tick(300 * time.Millisecond)
+		f.submit("b", gangs, step)
+		f.plan()
+		f.tick(time.Second)
+		Expect(f.plan().Stops).To(HaveLen(1))
+		Expect(f.Stats().Reserved).To(Equal(step.Count))
+		f.SetEndpoint(endpointInfo(1))
+		f.list("e01")
+		return f, first.Starts[0]
+	}
+
+	It("keeps no reservation that does not fit any more, so that its task starts elsewhere", func() {
+		f, _ := preempting(jobs.Step{Count: 1, Size: size(8000, 100), Estimate: 2 * time.Second})
+		Expect(f.plan().Starts).To(BeEmpty())
+		f.resize(0, size(4000, 65536))
+		starts := f.plan().Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Endpoint).To(Equal(endpointID(1)))
+		Expect(f.Stats().Reserved).To(BeZero())
+	})
+
+	It("keeps reservations that fit once the stops are done", func() {
+		f, first := preempting(jobs.Step{Count: 1, Size: size(8000, 100), Estimate: 2 * time.Second})
+		f.resize(0, size(8000, 65536))
+		Expect(f.plan().Starts).To(BeEmpty())
+		f.list("e00", ended(first.Run, fleet.Stopped))
+		starts := f.plan().Starts
+		Expect(starts).NotTo(BeEmpty())
+		Expect(starts[0].Endpoint).To(Equal(endpointID(0)))
+	})
+
+	It("keeps the reservations of the most urgent tasks if only some of them fit", func() {
+		f, first := preempting(jobs.Step{Count: 2, Size: size(6000, 100), Estimate: 2 * time.Second})
+		f.resize(0, size(6000, 65536))
+		starts := f.plan().Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Endpoint).To(Equal(endpointID(1)))
+		Expect(starts[0].Run.Task.Index).To(Equal(1))
+		f.list("e00", ended(first.Run, fleet.Stopped))
+		starts = f.plan().Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Endpoint).To(Equal(endpointID(0)))
+	})
+
+	It("keeps no reservation of a gang of which one member does not fit any more", func() {
+		f, _ := preempting(jobs.Step{Count: 2, Gang: true, Size: size(8000, 100), Estimate: 2 * time.Second})
+		f.resize(0, size(12000, 65536))
+		starts := f.plan().Starts
+		Expect(starts).To(HaveLen(2))
+		Expect(starts[0].Endpoint).To(Equal(endpointID(1)))
+		Expect(starts[1].Endpoint).To(Equal(endpointID(1)))
+	})
 })
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -17,12 +18,13 @@
 )
 
 // withdrawStaleReservations cancels reservations that can't be used: the step
-// may no longer run on the endpoint, or the reservation is older than
-// reservationTimeout.
+// may no longer run on the endpoint, its capacity has shrunk, or the reservation
+// is older than reservationTimeout. If some of an endpoint's reservations fit,
+// those of the first steps are kept.
 func (p *Planner) withdrawStaleReservations() {
-	for _, r := range p.reservedInOrder() {
+	for _, r := range slices.Backward(p.reservedInOrder()) {
 		s := r.task.step
-		if p.canRun(s, r.endpoint) && p.now.Sub(r.enteredAt) < reservationTimeout {
+		if p.canRun(s, r.endpoint) && r.endpoint.hasPlanned(r) && p.now.Sub(r.enteredAt) < reservationTimeout {
 			continue
 		}
 		if s.Gang {
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -254,6 +254,10 @@
 	return true
 }
 
+// hasPlanned reports whether the run, which is counted in committed, fits on the
+// endpoint once all stops are done.
+func (e *endpoint) hasPlanned(r *run) bool { return fits(r.size, e.planned.Add(r.size)) }
+
 // slots returns how many tasks of the size fit into free.
 func slots(size, free model.Resources) int {
 	n := math.MaxInt32
