Do not send recorded starts to an endpoint that has shrunk since

An endpoint got starts beyond its capacity long after its registry entry had shown the smaller one: a start is sent once its run is recorded, the write is retried while the table does not accept it, and nothing compared the start with the capacity again when the write was done.

Starts whose runs have been recorded are compared with the capacity before any of them is sent. Those that no longer fit are refused, the last ones first, so that their tasks can start elsewhere; of a gang none is sent.

--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -283,9 +283,7 @@
 	if c := h.cell; c != nil && c.epoch == m.epoch {
 		c.recorder.writing = false
 		c.recorder.markEndsRecorded(h)
-		for _, s := range c.recorder.startsInWrite {
-			h.sendStart(s)
-		}
+		h.sendStarts(c.recorder.startsInWrite)
 		c.recorder.startsInWrite = nil
 		c.cleaner.add(c.recorder.removedInWrite)
 		c.recorder.removedInWrite = nil
--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,24 @@
 	stopRetryPause = 300 * time.Millisecond
 )
 
+// sendStarts sends the starts whose runs have been recorded. A start that its
+// endpoint no longer has enough capacity for is refused before any is sent, so that
+// none of its gang is sent either; the last starts are refused first.
+func (h *Holder) sendStarts(starts []planner.Start) {
+	p := h.cell.planner
+	for _, s := range slices.Backward(starts) {
+		if p.StartPending(s.Run) && !p.StartFits(s.Run) {
+			counts.Add("starts_withdrawn", 1)
+			h.Log.Info("start_withdrawn", slog.String("id", string(s.Run.Task.Job)), slog.String("run", s.Run.String()),
+				slog.String("endpoint", string(s.Endpoint)))
+			p.StartRefused(s.Run, fleet.ErrNoCapacity)
+		}
+	}
+	for _, s := range starts {
+		h.sendStart(s)
+	}
+}
+
 func (h *Holder) sendStart(start planner.Start) {
 	if !h.cell.planner.StartPending(start.Run) {
 		// The run was stopped while its start was being recorded.
--- /dev/null
+++ b/holder/runcommands_test.go
@@ -0,0 +1,119 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
+)
+
+const (
+	testQueue   = jobs.QueueName("batch")
+	testService = catalog.ServiceName("cook")
+)
+
+// newTestHolder returns a holder that decides for the endpoints, all of which have
+// been listed. Its duties are not run, so that commands remain pending.
+func newTestHolder(ctx context.Context, entries ...fleet.Endpoint) *Holder {
+	h := &Holder{now: time.Unix(1000, 0), actUntil: time.Unix(2000, 0)}
+	h.Log = logging.Discard()
+	h.Start = func(...duty.Runner) {}
+	h.MaxLease = 10 * time.Second
+	h.cell = &cell{
+		ctx: ctx, epoch: 1, planner: planner.New(1), cleaner: &cleaner{},
+		sessions: map[model.EndpointID]*session{}, roster: map[model.EndpointID]rosterEntry{},
+	}
+	h.cell.commands = newCommands(h)
+	h.cell.recorder = &recorder{}
+	h.cell.planner.SetTime(h.now, h.now.UnixMilli())
+	h.cell.planner.SetCatalog(&catalog.Catalog{
+		Queues:   map[jobs.QueueName]*catalog.Queue{testQueue: {Name: testQueue, Service: testService, Attempts: 3, Stretch: 4}},
+		Services: map[catalog.ServiceName]*catalog.Service{testService: {Name: testService}},
+		Teams:    map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 100}},
+	})
+	for _, entry := range entries {
+		h.applyEntry(entry)
+		h.applyListing(h.cell.sessions[entry.ID], h.now, fleet.Listing{Born: entry.Born, Clock: 100})
+	}
+	return h
+}
+
+// testEntry returns the registry entry of an endpoint with the number of cores.
+func testEntry(id model.EndpointID, cores int64) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Service: testService, Address: string(id), Capacity: model.Resources{model.CPU: 1000 * cores}, Born: 1}
+}
+
+// decideStarts adds a job of one step and passes its starts to the write in flight.
+func (h *Holder) decideStarts(id jobs.ID, step jobs.Step) []planner.Start {
+	h.cell.planner.AddJob(&jobs.Job{ID: id, Team: "red", Queue: testQueue, Steps: []jobs.Step{step}, Accepted: h.now.UnixMilli()}, nil)
+	h.cell.planner.Decide()
+	starts := h.cell.planner.TakePlan().Starts
+	h.cell.recorder.startsInWrite = append(h.cell.recorder.startsInWrite, starts...)
+	return starts
+}
+
+// sentStarts returns the runs whose starts have been sent, by endpoint.
+func (h *Holder) sentStarts() map[model.EndpointID][]jobs.RunID {
+	sent := map[model.EndpointID][]jobs.RunID{}
+	for _, p := range h.cell.commands.pending {
+		if start := p.command.Start; start != nil {
+			sent[start.Target.ID] = append(sent[start.Target.ID], start.Run)
+		}
+	}
+	return sent
+}
+
+var _ = Describe("A start that is being recorded while the endpoint's capacity shrinks", func() {
+	tasks := func(count int, cores int64) jobs.Step {
+		return jobs.Step{Count: count, Size: model.Resources{model.CPU: 1000 * cores}, Estimate: time.Second}
+	}
+
+	// A write is retried while the table is unavailable.
+	It("is not sent if the endpoint has too little capacity by then", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		starts := h.decideStarts("a", tasks(1, 16))
+		Expect(starts).To(HaveLen(1))
+		h.applyEntry(testEntry("e", 8))
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(BeEmpty())
+		Expect(h.cell.planner.Live(starts[0].Run)).To(BeFalse(), "the task may start elsewhere")
+	})
+
+	It("is sent if the endpoint has enough capacity after all", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		Expect(h.decideStarts("a", tasks(1, 8))).To(HaveLen(1))
+		h.applyEntry(testEntry("e", 4))
+		h.applyEntry(testEntry("e", 8))
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(HaveLen(1))
+	})
+
+	It("is sent if the endpoint's capacity suffices without the starts after it", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		starts := h.decideStarts("a", tasks(4, 4))
+		Expect(starts).To(HaveLen(4))
+		h.applyEntry(testEntry("e", 9))
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()["e"]).To(ConsistOf(starts[0].Run, starts[1].Run))
+	})
+
+	It("is not sent to any endpoint if it starts a gang that one endpoint has too little capacity for", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 8), testEntry("f", 8))
+		gang := tasks(2, 8)
+		gang.Gang = true
+		starts := h.decideStarts("a", gang)
+		Expect(starts).To(HaveLen(2))
+		h.applyEntry(testEntry(starts[1].Endpoint, 4))
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(BeEmpty())
+	})
+})
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/hornbeamworks/hornbeam/jobs"
 )
 
 const (
@@ -112,6 +114,13 @@
 	}
 }
 
+// StartFits reports whether the endpoint has enough capacity for a run whose start
+// has been planned but not sent: its capacity may have shrunk since.
+func (p *Planner) StartFits(id jobs.RunID) bool {
+	r := p.runs[id]
+	return r != nil && fits(r.size, r.endpoint.free.Add(r.size))
+}
+
 // renewTickets requests advice about the endpoints of reservations whose tickets
 // have expired. A gang needs all its tickets at the same time, so that one request
 // renews all of them.
