Do not send recorded starts that their endpoint may no longer run

A start that was being recorded while its endpoint began to leave, its failure domain was evacuated or the endpoint listed a run of unknown size was sent nevertheless once the write was done, which may be seconds later while the table does not accept writes.

The check before sending covers what the planner requires of an endpoint except the temporary exclusions, which refusals by the endpoint cause.

Before, the three new tests failed: the start was sent.

--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -18,17 +18,17 @@
 	stopRetryPause = 300 * time.Millisecond
 )
 
-// sendStarts sends the starts whose runs have been recorded. A start that its
-// endpoint no longer has enough capacity for is refused before any is sent, so that
-// none of its gang is sent either; the last starts are refused first.
+// sendStarts sends the starts whose runs have been recorded. Starts that are no
+// longer possible are refused before any is sent, so that none of their gangs is
+// sent either; the last ones are refused first.
 func (h *Holder) sendStarts(starts []planner.Start) {
 	p := h.cell.planner
 	for _, s := range slices.Backward(starts) {
-		if p.StartPending(s.Run) && !p.StartFits(s.Run) {
+		if p.StartPending(s.Run) && !p.MayStart(s.Run) {
 			counts.Add("starts_withdrawn", 1)
 			h.Log.Info("start_withdrawn", slog.String("id", string(s.Run.Task.Job)), slog.String("run", s.Run.String()),
 				slog.String("endpoint", string(s.Endpoint)))
-			p.StartRefused(s.Run, fleet.ErrNoCapacity)
+			p.StartRefused(s.Run, fleet.ErrRefused)
 		}
 	}
 	for _, s := range starts {
--- a/holder/runcommands_test.go
+++ b/holder/runcommands_test.go
@@ -117,3 +117,37 @@
 		Expect(h.sentStarts()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("A start that is being recorded", func() {
+	one := jobs.Step{Count: 1, Size: model.Resources{model.CPU: 1000}, Estimate: time.Second}
+
+	It("is not sent to an endpoint that begins to leave meanwhile", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		Expect(h.decideStarts("a", one)).To(HaveLen(1))
+		leaving := testEntry("e", 16)
+		leaving.Leaving = true
+		h.applyEntry(leaving)
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(BeEmpty())
+	})
+
+	It("is not sent to an endpoint whose failure domain is evacuated meanwhile", func(ctx SpecContext) {
+		entry := testEntry("e", 16)
+		entry.Domain = "d"
+		h := newTestHolder(ctx, entry)
+		Expect(h.decideStarts("a", one)).To(HaveLen(1))
+		h.cell.planner.SetEvacuated("d", true)
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(BeEmpty())
+	})
+
+	// The size of such a run is not known.
+	It("is not sent to an endpoint that lists an unknown run meanwhile", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		Expect(h.decideStarts("a", one)).To(HaveLen(1))
+		unknown := jobs.RunID{Task: jobs.TaskID{StepID: jobs.StepID{Job: "gone"}}, Number: 1}
+		h.applyListing(h.cell.sessions["e"], h.now, fleet.Listing{Born: 1, Clock: 101, Running: []fleet.RunStatus{{Run: unknown}}})
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(BeEmpty())
+	})
+})
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -114,11 +114,12 @@
 	}
 }
 
-// StartFits reports whether the endpoint has enough capacity for a run whose start
-// has been planned but not sent: its capacity may have shrunk since.
-func (p *Planner) StartFits(id jobs.RunID) bool {
+// MayStart reports whether a run whose start has been planned but not sent may
+// still be started: since then, its endpoint may have shrunk, begun to leave, been
+// evacuated or listed runs of unknown size.
+func (p *Planner) MayStart(id jobs.RunID) bool {
 	r := p.runs[id]
-	return r != nil && fits(r.size, r.endpoint.free.Add(r.size))
+	return r != nil && p.permits(r.task.step, r.endpoint) && fits(r.size, r.endpoint.free.Add(r.size))
 }
 
 // renewTickets requests advice about the endpoints of reservations whose tickets
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -233,6 +233,11 @@
 // canRun reports whether the step may run on the endpoint, regardless of its
 // free capacity.
 func (p *Planner) canRun(s *step, e *endpoint) bool {
+	return p.permits(s, e) && !p.now.Before(e.excludedUntil)
+}
+
+// permits is canRun without the temporary exclusions.
+func (p *Planner) permits(s *step, e *endpoint) bool {
 	queue := p.queueOf(s.job)
 	if queue == nil || e.Service != queue.Service || p.evacuated[e.Domain] {
 		return false
@@ -240,7 +245,7 @@
 	if s.Label != "" && !e.HasLabel(s.Label) {
 		return false
 	}
-	return e.usable() && !p.now.Before(e.excludedUntil)
+	return e.usable()
 }
 
 // fits reports whether size fits into free. Resources that size does not
