Log changes of registered capacities, and count endpoints over theirs

Nothing showed that an endpoint had shrunk: event endpoint_capacity has the capacity before and after and what the runs take, the cell event and the gauge endpoints_over_capacity count the endpoints whose runs take more than their capacity. Runs over the capacity are left to end.

--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -314,6 +314,10 @@
 		h.Log.Info("endpoint_entry", slog.String("endpoint", string(entry.ID)), slog.String("address", entry.Address),
 			slog.String("domain", string(entry.Domain)), slog.Bool("leaving", entry.Leaving), slog.Int64("born", entry.Born))
 	}
+	if s.entry.ID != "" && s.entry.Capacity != entry.Capacity {
+		h.Log.Info("endpoint_capacity", slog.String("endpoint", string(entry.ID)), slog.Any("before", s.entry.Capacity),
+			slog.Any("after", entry.Capacity), slog.Any("used", c.planner.Used(entry.ID)))
+	}
 	if entry.Born > s.startTime && s.startTime > 0 {
 		s.newIncarnation(entry.Born, h.now)
 	}
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -26,6 +26,8 @@
 	teamTimes  = metrics.NewHistograms("job_time_by_team", maxMetricLabels)
 	waitTimes  = metrics.NewHistograms("job_wait_by_queue_and_cause", maxMetricLabels)
 	counts     = expvar.NewMap("holder")
+	// endpointsOverCapacity is 0 while another instance holds the cell.
+	endpointsOverCapacity = expvar.NewInt("endpoints_over_capacity")
 	// queueCounts counts the ends of jobs by queue, final state and timeliness.
 	queueCounts = expvar.NewMap("queues")
 )
@@ -57,9 +59,10 @@
 	}
 	c.statsLoggedAt = h.now
 	stats := c.planner.Stats()
+	endpointsOverCapacity.Set(int64(stats.OverCapacity))
 	h.Log.Info("cell", slog.Uint64("epoch", c.epoch), slog.Int("jobs", stats.Jobs), slog.Int("runs", stats.Runs),
 		slog.Int("reserved", stats.Reserved), slog.Int("pending", stats.Pending), slog.Int("usable", stats.Usable),
-		slog.Int("endpoints", stats.Endpoints), slog.Int64("cpu_used", stats.CPUUsed), slog.Int64("cpu_total", stats.CPUTotal),
+		slog.Int("endpoints", stats.Endpoints), slog.Int("over_capacity", stats.OverCapacity), slog.Int64("cpu_used", stats.CPUUsed), slog.Int64("cpu_total", stats.CPUTotal),
 		slog.Int("questions", c.adviceQueue.waiting()), slog.Duration("lease_left", h.actUntil.Sub(h.now)))
 	for _, queue := range c.planner.QueueStats() {
 		h.logQueue(queue)
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -103,6 +103,7 @@
 func (h *Holder) discardCell() {
 	h.cell.cancel()
 	h.cell = nil
+	endpointsOverCapacity.Set(0)
 }
 
 // start runs a duty that is stopped with the cell, or with the process.
--- a/planner/capacity_test.go
+++ b/planner/capacity_test.go
@@ -106,4 +106,31 @@
 		Expect(starts[0].Endpoint).To(Equal(endpointID(1)))
 		Expect(starts[1].Endpoint).To(Equal(endpointID(1)))
 	})
+
+	It("counts as over its capacity while its runs take more than that", func() {
+		f := newFixture(1, 2)
+		f.submit("a", batch, jobs.Step{Count: 1, Size: size(8000, 100), Estimate: time.Second})
+		start := f.plan().Starts[0]
+		f.StartConfirmed(start.Run)
+		entry := endpointInfo(0)
+		if start.Endpoint != entry.ID {
+			entry = endpointInfo(1)
+		}
+		entry.Capacity = size(4000, 65536)
+		f.SetEndpoint(entry)
+		Expect(f.Stats().OverCapacity).To(Equal(1))
+		Expect(f.Used(entry.ID)).To(Equal(size(8000, 100)))
+		Expect(f.plan().Stops).To(BeEmpty(), "its runs are left to end")
+		f.list(start.Endpoint, ended(start.Run, fleet.Succeeded))
+		Expect(f.Stats().OverCapacity).To(BeZero())
+	})
+
+	It("does not count as over its capacity before its registry entry has been read", func() {
+		previous := newFixture(1, 1)
+		job := previous.submit("a", batch, single)
+		previous.plan()
+		f := newFixture(2, 0)
+		f.AddJob(job, previous.progress("a"))
+		Expect(f.Stats().OverCapacity).To(BeZero())
+	})
 })
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -197,11 +197,12 @@
 }
 
 // Stats are figures for logs and metrics. Pending counts tasks, Usable the
-// endpoints that starts may be sent to.
+// endpoints that starts may be sent to, and OverCapacity the registered endpoints
+// whose runs take more than their capacity, which has shrunk.
 type Stats struct {
-	Jobs, Runs, Reserved, Pending int
-	Usable, Endpoints             int
-	CPUUsed, CPUTotal             int64
+	Jobs, Runs, Reserved, Pending   int
+	Usable, OverCapacity, Endpoints int
+	CPUUsed, CPUTotal               int64
 }
 
 // Stats returns the current figures.
@@ -214,6 +215,9 @@
 		if e.usable() {
 			s.Usable++
 		}
+		if e.Service != "" && !e.used.Fits(e.Capacity) {
+			s.OverCapacity++
+		}
 		s.CPUUsed += e.used[model.CPU]
 		s.CPUTotal += e.Capacity[model.CPU]
 	}
@@ -325,3 +329,11 @@
 	}
 	return e.Endpoint, true
 }
+
+// Used returns the capacity that dispatched runs take on an endpoint.
+func (p *Planner) Used(id model.EndpointID) model.Resources {
+	if e := p.endpoints[id]; e != nil {
+		return e.used
+	}
+	return model.Resources{}
+}
