Ask for advice again about an endpoint that has restarted under its ID

A step whose endpoints had all restarted waited for ever: their tickets are bound to the previous incarnation, and an endpoint that had been named in a request was not named in another one.

A restart removes the endpoint from what the open steps have asked about and from their eligible endpoints, so that the next request may name it.

The new test failed before: no advice request.

--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -83,7 +83,7 @@
 	e.setEntry(entry)
 	e.Born = max(startedAt, entry.Born)
 	if entry.Born > startedAt && startedAt > 0 {
-		e.handleRestart()
+		p.handleRestart(e)
 	}
 	p.markFreed(e)
 	p.dirty = true
@@ -135,16 +135,21 @@
 	}
 	if startedAt > e.Born {
 		if e.Born > 0 {
-			e.handleRestart()
+			p.handleRestart(e)
 		}
 		e.Born = startedAt
 	}
 	endpointsChart.Fire(&e.state, evEndpointResponded, e)
 }
 
-func (e *endpoint) handleRestart() {
+func (p *Planner) handleRestart(e *endpoint) {
 	e.failures, e.quarantines, e.excludedUntil, e.runTimeRatio = 0, 0, time.Time{}, runTimeRatio{}
 	e.endRuns(evRestarted)
+	// Tickets are void after a restart, and the new incarnation may be of another kind.
+	for _, s := range p.openSteps() {
+		delete(s.advice.requested, e.ID)
+		delete(s.advice.eligible, e.ID)
+	}
 }
 
 func (e *endpoint) endRuns(event runEvent) {
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
 )
 
 var _ = Describe("A start that reached an endpoint's new incarnation before the restart was observed", func() {
@@ -37,3 +38,29 @@
 		Expect(f.plan().Starts).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("An endpoint that has restarted under its ID", func() {
+	// The tickets for its previous incarnation are void, and the request for them was
+	// not repeated.
+	It("is named in advice requests again by the steps that had asked about it", func() {
+		f := newAdvisedFixture(2, shortAdvice)
+		f.submit("a", batch, single)
+		request := f.plan().AdviceRequests[0]
+		f.ApplyAdvice(request, map[model.EndpointID]string{"e00": "first"}, f.now)
+		f.start(f.plan())
+		restarted := endpointInfo(0)
+		restarted.Born = 2
+		f.SetEndpoint(restarted)
+		f.list("e00", int64(2))
+		f.tick(time.Second)
+		f.list("e00", int64(2))
+		again := f.plan()
+		Expect(again.Starts).To(BeEmpty())
+		Expect(again.AdviceRequests).To(HaveLen(1))
+		Expect(again.AdviceRequests[0].Endpoints).To(ConsistOf(endpointID(0)))
+		f.ApplyAdvice(again.AdviceRequests[0], map[model.EndpointID]string{"e00": "second"}, f.now)
+		starts := f.plan().Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Ticket).To(Equal("second"))
+	})
+})
