--- a/integration/cell/capacity_test.go
+++ b/integration/cell/capacity_test.go
@@ -101,6 +101,7 @@
 		Expect(startsOn(runs, none, grownAt, end)).To(BeNumerically(">", 0), "it has grown again")
 		Expect(startsBeyond(runs, small, 3, grownAt, end)).To(BeNumerically(">", 0), "it has grown again")
 		Expect(s.Checker.Violations()).To(BeEmpty())
+		Expect(s.Nodes[s.Holder()].Log()).To(ContainSubstring("endpoint=" + small + " event=endpoint_capacity"))
 	}
 
 	It("get no starts beyond their capacity from a new holder", func() {
