--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -1,8 +1,11 @@
 package planner
 
 import (
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/hornbeamworks/hornbeam/jobs"
 )
 
 const (
@@ -17,12 +20,13 @@
 )
 
 // withdrawStaleReservations cancels reservations that can't be used: the step
-// may no longer run on the endpoint, or the reservation is older than
-// reservationTimeout.
+// may no longer run on the endpoint, its capacity has shrunk, or the reservation
+// is older than reservationTimeout. If some of an endpoint's reservations fit,
+// those of the first steps are kept.
 func (p *Planner) withdrawStaleReservations() {
-	for _, r := range p.reservedInOrder() {
+	for _, r := range slices.Backward(p.reservedInOrder()) {
 		s := r.task.step
-		if p.canRun(s, r.endpoint) && p.now.Sub(r.enteredAt) < reservationTimeout {
+		if p.canRun(s, r.endpoint) && r.endpoint.hasPlanned(r) && p.now.Sub(r.enteredAt) < reservationTimeout {
 			continue
 		}
 		if s.Gang {
@@ -110,6 +114,14 @@
 	}
 }
 
+// MayStart reports whether a run whose start has been planned but not sent may
+// still be started: since then, its endpoint may have shrunk, begun to leave, been
+// evacuated or listed runs of unknown size.
+func (p *Planner) MayStart(id jobs.RunID) bool {
+	r := p.runs[id]
+	return r != nil && p.permits(r.task.step, r.endpoint) && fits(r.size, r.endpoint.free.Add(r.size))
+}
+
 // renewTickets requests advice about the endpoints of reservations whose tickets
 // have expired. A gang needs all its tickets at the same time, so that one request
 // renews all of them.
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -27,6 +27,9 @@
 	// refusalBackoff is how long an endpoint that refused a start gets no
 	// further ones.
 	refusalBackoff = 300 * time.Millisecond
+	// maxAmount bounds each amount of a registered capacity, in the resource's
+	// unit, so that sums of capacities and sizes don't overflow.
+	maxAmount = 1 << 50
 )
 
 // endpoint is an endpoint with its runs.
@@ -34,10 +37,11 @@
 	fleet.Endpoint
 	state chart.State
 	runs  map[*run]bool
-	// used is the capacity that dispatched runs take, free the remaining
-	// capacity. planned is the capacity that is free once all reservations
-	// are used and all stops are done.
-	used, free, planned model.Resources
+	// used is the capacity that dispatched runs take, committed what runs and
+	// reservations take once all stops are done. free and planned are what
+	// these leave of the capacity; they are negative after the capacity has
+	// shrunk below them.
+	used, committed, free, planned model.Resources
 	// capacitySeq is the planner's capacitySeq when capacity was last freed
 	// on this endpoint.
 	capacitySeq uint64
@@ -79,7 +83,7 @@
 	e.setEntry(entry)
 	e.Born = max(startedAt, entry.Born)
 	if entry.Born > startedAt && startedAt > 0 {
-		e.handleRestart()
+		p.handleRestart(e)
 	}
 	p.markFreed(e)
 	p.dirty = true
@@ -131,16 +135,21 @@
 	}
 	if startedAt > e.Born {
 		if e.Born > 0 {
-			e.handleRestart()
+			p.handleRestart(e)
 		}
 		e.Born = startedAt
 	}
 	endpointsChart.Fire(&e.state, evEndpointResponded, e)
 }
 
-func (e *endpoint) handleRestart() {
+func (p *Planner) handleRestart(e *endpoint) {
 	e.failures, e.quarantines, e.excludedUntil, e.runTimeRatio = 0, 0, time.Time{}, runTimeRatio{}
 	e.endRuns(evRestarted)
+	// Tickets are void after a restart, and the new incarnation may be of another kind.
+	for _, s := range p.openSteps() {
+		delete(s.advice.requested, e.ID)
+		delete(s.advice.eligible, e.ID)
+	}
 }
 
 func (e *endpoint) endRuns(event runEvent) {
@@ -171,12 +180,13 @@
 
 func (e *endpoint) addRun(r *run) {
 	e.runs[r] = true
-	e.planned = e.planned.Sub(r.size)
+	e.committed = e.committed.Add(r.size)
+	e.updateFree()
 }
 
 func (e *endpoint) markDispatched(r *run) {
 	e.used = e.used.Add(r.size)
-	e.free = e.free.Sub(r.size)
+	e.updateFree()
 }
 
 // updateReleasing records whether the run's capacity will soon be free.
@@ -186,25 +196,32 @@
 	}
 	r.releasing = releasing
 	if releasing {
-		e.planned = e.planned.Add(r.size)
+		e.committed = e.committed.Sub(r.size)
 	} else {
-		e.planned = e.planned.Sub(r.size)
+		e.committed = e.committed.Add(r.size)
 	}
+	e.updateFree()
 }
 
 func (e *endpoint) removeRun(r *run) {
 	delete(e.runs, r)
 	e.used = e.used.Sub(r.size)
-	e.free = e.free.Add(r.size)
-	e.planned = e.planned.Add(r.size)
+	e.committed = e.committed.Sub(r.size)
+	e.updateFree()
 }
 
-// setEntry applies a registry entry and the change of capacity in it.
+// setEntry applies a registry entry. The capacity in it may differ from that of
+// the previous entry while runs are in progress.
 func (e *endpoint) setEntry(entry fleet.Endpoint) {
-	added := entry.Capacity.Sub(e.Capacity)
+	for i, amount := range entry.Capacity {
+		entry.Capacity[i] = min(max(amount, 0), maxAmount)
+	}
 	e.Endpoint = entry
-	e.free = e.free.Add(added)
-	e.planned = e.planned.Add(added)
+	e.updateFree()
+}
+
+func (e *endpoint) updateFree() {
+	e.free, e.planned = e.Capacity.Sub(e.used), e.Capacity.Sub(e.committed)
 }
 
 // markFreed records that a waiting step may now fit on the endpoint.
@@ -221,6 +238,11 @@
 // canRun reports whether the step may run on the endpoint, regardless of its
 // free capacity.
 func (p *Planner) canRun(s *step, e *endpoint) bool {
+	return p.permits(s, e) && !p.now.Before(e.excludedUntil)
+}
+
+// permits is canRun without the temporary exclusions.
+func (p *Planner) permits(s *step, e *endpoint) bool {
 	queue := p.queueOf(s.job)
 	if queue == nil || e.Service != queue.Service || p.evacuated[e.Domain] {
 		return false
@@ -228,7 +250,7 @@
 	if s.Label != "" && !e.HasLabel(s.Label) {
 		return false
 	}
-	return e.usable() && !p.now.Before(e.excludedUntil)
+	return e.usable()
 }
 
 // fits reports whether size fits into free. Resources that size does not
@@ -242,6 +264,10 @@
 	return true
 }
 
+// hasPlanned reports whether the run, which is counted in committed, fits on the
+// endpoint once all stops are done.
+func (e *endpoint) hasPlanned(r *run) bool { return fits(r.size, e.planned.Add(r.size)) }
+
 // slots returns how many tasks of the size fit into free.
 func slots(size, free model.Resources) int {
 	n := math.MaxInt32
