Log the runs that are lost with their endpoint

Cause: a run whose endpoint was gone left no line. Which runs an endpoint had when it was lost, and which of them it had never listed, could not be read from the logs, so that tasks that crash their endpoints could not be told from those that ran beside them. Measured: planner and holder tests; no decision changes.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -236,6 +236,9 @@
 	for _, id := range plan.Changed {
 		c.recorder.changed[id] = true
 	}
+	for _, loss := range plan.Losses {
+		h.logLoss(loss)
+	}
 	for _, outcome := range plan.Outcomes {
 		c.recorder.addOutcome(h, outcome)
 		h.logOutcome(outcome)
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/metrics"
@@ -50,6 +51,19 @@
 	h.Log.Info("job_decided", attrs...)
 }
 
+func (h *Holder) logLoss(loss planner.EndpointLoss) {
+	counts.Add("endpoints_lost", 1)
+	counts.Add("runs_lost", int64(loss.Runs))
+	counts.Add("runs_lost_unlisted", int64(loss.Unlisted))
+	suspects := make([]string, len(loss.Suspects))
+	for i, run := range loss.Suspects {
+		suspects[i] = run.String()
+	}
+	h.Log.Warn("runs_lost", slog.String("endpoint", string(loss.Endpoint)), slog.String("cause", string(loss.Cause)),
+		slog.Int("runs", loss.Runs), slog.Int("unlisted", loss.Unlisted), slog.String("suspects", strings.Join(suspects, " ")),
+		slog.Uint64("epoch", h.cell.epoch))
+}
+
 func (h *Holder) logStats() {
 	c := h.cell
 	if h.now.Sub(c.statsLoggedAt) < statsPeriod {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -66,6 +66,8 @@
 	Changed []jobs.ID
 	// Removed are the jobs that have a final state and no live run.
 	Removed []jobs.ID
+	// Losses are the runs that ended with their endpoints.
+	Losses []EndpointLoss
 }
 
 // Planner holds the jobs, endpoints and runs of the cell.
--- a/planner/run.go
+++ b/planner/run.go
@@ -132,6 +132,9 @@
 		r.task.step.job.markChanged()
 	}
 	if r.state == runGone {
+		if before != runReserved && (event == evLapse || event == evRestarted) {
+			p.recordLoss(r, event)
+		}
 		p.release(r, event)
 	}
 }
