Fail the job of a task that crashes its endpoints three times in a row

Cause: a task that crashes each endpoint that starts it was started without a limit: a run lost with its endpoint was requeued at once and counted nowhere, and a successor restored nothing of it. Change: a run that was lost with its endpoint, whose start was sent and that no listing showed 200 ms after its start counts against its task; the third in a row fails the job, through the event crash of cell_task. A run that survives its start, or whose end is listed, clears the count. The counts are part of the recorded progress, and so is the endpoint's start time for each live run, so that a successor can tell a restart from a start that was never sent. Tasks with a count go to the emptiest endpoint, and two of different steps are not started beside each other: they would be lost together, and both counted, each time.

--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -35,6 +35,7 @@
 		h.cell.planner.StartRefused(start.Run, fleet.ErrRefused)
 		return
 	}
+	h.cell.planner.StartSent(start.Run)
 	counts.Add("starts", 1)
 	startWaits.Record(string(start.Queue), start.Waited)
 	h.Log.Info("run_ordered", slog.String("id", string(start.Run.Task.Job)), slog.String("run", start.Run.String()),
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -41,7 +41,7 @@
 		slog.String("reason", o.Reason), slog.String("queue", string(o.Queue)), slog.String("team", string(o.Team)),
 		slog.Duration("took", o.Took), slog.Uint64("epoch", h.cell.epoch),
 		slog.String("timeliness", string(o.Timeliness)), slog.Bool("surplus", o.Surplus),
-		slog.Int("preemptions", o.Preemptions), slog.Int("failed_runs", o.FailedRuns),
+		slog.Int("preemptions", o.Preemptions), slog.Int("failed_runs", o.FailedRuns), slog.Int("crashes", o.Crashes),
 	}
 	for cause, waited := range o.Waits {
 		name := planner.WaitCause(cause).String()
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -24,6 +24,9 @@
 	// Failures are the numbers of the failed runs by task index. A gang's
 	// failures are those of task 0.
 	Failures map[int][]int `json:"failed,omitempty"`
+	// Crashes are the runs in a row that may have crashed their endpoints, by task
+	// index. A gang's are those of task 0.
+	Crashes map[int][]Crash `json:"crashed,omitempty"`
 	// Runs are the live runs. Each is recorded before its start is sent.
 	Runs []RunRecord `json:"runs,omitempty"`
 	// Saved are the last checkpoints by task index.
@@ -37,6 +40,17 @@
 	Number int `json:"r"`
 	// Endpoint is the endpoint of the run.
 	Endpoint model.EndpointID `json:"e"`
+	// Born is the start time of the endpoint's incarnation in Unix milliseconds; 0
+	// if it is not known.
+	Born int64 `json:"b,omitempty"`
+}
+
+// Crash is a run that was lost with its endpoint and may have crashed it.
+type Crash struct {
+	// Number is the run's number.
+	Number int `json:"r"`
+	// Endpoint is the endpoint of the run.
+	Endpoint model.EndpointID `json:"e"`
 }
 
 // Status is the row from which status requests are served.
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -1,10 +1,25 @@
 package planner
 
 import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
 )
 
+const (
+	// crashLimit is the number of endpoints in a row that a task may crash before
+	// its job fails.
+	crashLimit = 3
+	// survivalTime is how long after its start a run has to be listed to show that
+	// it does not crash its endpoint. A listing may have been sent between the
+	// start and the crash.
+	survivalTime = 200 * time.Millisecond
+)
+
 // LossCause is how the end of an incarnation of an endpoint was observed.
 type LossCause string
 
@@ -25,7 +40,8 @@
 	// Runs counts the runs, Unlisted those of them that the endpoint had
 	// never listed.
 	Runs, Unlisted int
-	// Suspects are the first maxSuspectsReported unlisted runs.
+	// Suspects are the first maxSuspectsReported runs that may have crashed the
+	// endpoint.
 	Suspects []jobs.RunID
 }
 
@@ -33,7 +49,7 @@
 const maxSuspectsReported = 4
 
 // recordLoss adds a run that ended with its endpoint to the plan's losses.
-func (p *Planner) recordLoss(r *run, event runEvent) {
+func (p *Planner) recordLoss(r *run, event runEvent, suspect bool) {
 	cause := LossRestart
 	if event == evLapse {
 		cause = LossLapse
@@ -45,11 +61,142 @@
 	}
 	loss := &p.plan.Losses[last]
 	loss.Runs++
-	if r.lastListing > 0 {
-		return
+	if r.lastListing == 0 {
+		loss.Unlisted++
 	}
-	loss.Unlisted++
-	if len(loss.Suspects) < maxSuspectsReported {
+	if suspect && len(loss.Suspects) < maxSuspectsReported {
 		loss.Suspects = append(loss.Suspects, r.id)
 	}
 }
+
+// lostWithEndpoint reports whether the event, which ended the run, means that the
+// incarnation of its endpoint has ended.
+func (r *run) lostWithEndpoint(event runEvent) bool {
+	return event == evLapse || event == evRestarted || event == evAbsent && r.restartedSince()
+}
+
+// restartedSince reports whether the endpoint has restarted since the run was
+// dispatched.
+func (r *run) restartedSince() bool { return r.born > 0 && r.endpoint.Born > r.born }
+
+// maySuspect reports whether the run, which was lost with its endpoint in the given
+// state, may have crashed it: its start was sent, and nothing shows that the
+// endpoint worked on after it.
+func (r *run) maySuspect(ending bool) bool {
+	return r.sent && !r.survived && (!ending || r.restartedSince())
+}
+
+// checkSurvival records that a listing has shown the run. A run that is listed
+// survivalTime after its start has not crashed its endpoint.
+func (r *run) checkSurvival() {
+	p, since := r.task.step.job.p, r.startedAt
+	if since.IsZero() {
+		since = r.enteredAt
+	}
+	if r.survived || p.now.Sub(since) < survivalTime {
+		return
+	}
+	r.survived = true
+	if !r.task.suspect() {
+		return
+	}
+	p.markFreed(r.endpoint)
+	if r.task.step.survived(r.id.Number) {
+		r.task.acquit()
+	}
+}
+
+// survived reports whether the task's run of a step has survived its start: of a
+// gang, all members.
+func (s *step) survived(number int) bool {
+	if !s.Gang {
+		return true
+	}
+	for _, t := range s.tasks {
+		if t.run == nil || t.run.id.Number != number || !t.run.survived {
+			return false
+		}
+	}
+	return true
+}
+
+// suspect reports whether the last runs of the task were lost with their endpoints
+// and may have crashed them.
+func (t *task) suspect() bool { return len(t.failureOwner().crashes) > 0 }
+
+// recordCrash counts a run that may have crashed its endpoint. Each run of a gang
+// counts once.
+func (t *task) recordCrash(r *run) {
+	owner := t.failureOwner()
+	if slices.ContainsFunc(owner.crashes, func(c jobs.Crash) bool { return c.Number == r.id.Number }) {
+		return
+	}
+	owner.crashes = append(owner.crashes, jobs.Crash{Number: r.id.Number, Endpoint: r.endpoint.ID})
+	t.step.job.markChanged()
+}
+
+func (t *task) acquit() {
+	owner := t.failureOwner()
+	if len(owner.crashes) > 0 {
+		owner.crashes = nil
+		t.step.job.markChanged()
+	}
+}
+
+// applyEndToCrashes handles the end of a run that the endpoint has listed: it has
+// not crashed, and was only unreachable if its lease has ended. A single task that
+// has run there does not crash its endpoints.
+func (t *task) applyEndToCrashes(e *endpoint, end fleet.End) {
+	owner := t.failureOwner()
+	if len(owner.crashes) == 0 {
+		return
+	}
+	ran := end.Outcome == fleet.Succeeded || end.Outcome == fleet.RunFailed || end.Outcome == fleet.Lapsed
+	if ran && !t.step.Gang {
+		t.acquit()
+		return
+	}
+	before := len(owner.crashes)
+	owner.crashes = slices.DeleteFunc(owner.crashes, func(c jobs.Crash) bool {
+		return c.Number == end.Run.Number && c.Endpoint == e.ID
+	})
+	if len(owner.crashes) < before {
+		t.step.job.markChanged()
+	}
+}
+
+func (t *task) crashLimitReached() bool { return len(t.failureOwner().crashes) >= crashLimit }
+
+func (t *task) failCrashingJob() {
+	var endpoints []string
+	for _, c := range t.failureOwner().crashes {
+		endpoints = append(endpoints, string(c.Endpoint))
+	}
+	t.step.job.finish(jobs.Failed, "task "+t.id.String()+" crashed its endpoints "+strings.Join(endpoints, ", "))
+}
+
+// separate returns the candidates on which the task is not started beside the
+// suspect of another step: if the endpoint crashed, both would count it.
+func (t *task) separate(candidates []*endpoint) []*endpoint {
+	if !t.suspect() {
+		return candidates
+	}
+	list := make([]*endpoint, 0, len(candidates))
+	for _, e := range candidates {
+		if !e.startsSuspectBeside(t.step) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// startsSuspectBeside reports whether the endpoint has a run of another step's
+// suspect that has not survived its start yet.
+func (e *endpoint) startsSuspectBeside(s *step) bool {
+	for r := range e.runs {
+		if !r.survived && r.task.step != s && r.task.suspect() {
+			return true
+		}
+	}
+	return false
+}
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -130,10 +130,11 @@
 		p.markFreed(e)
 	}
 	if startedAt > e.Born {
-		if e.Born > 0 {
+		restarted := e.Born > 0
+		e.Born = startedAt
+		if restarted {
 			e.handleRestart()
 		}
-		e.Born = startedAt
 	}
 	endpointsChart.Fire(&e.state, evEndpointResponded, e)
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -104,26 +104,32 @@
 func (p *Planner) placeTasks(s *step, candidates []*endpoint) bool {
 	size := s.Committed()
 	usable, expired := p.splitByTicket(s, candidates)
+	placedAll := true
 	for _, t := range slices.Clone(s.pending) {
 		if !p.withinLimit(s.job.Team, size) {
 			s.waitFor(WaitLimit)
 			return true
 		}
-		e := p.bestEndpoint(s, t, usable)
-		if e == nil && p.bestEndpoint(s, t, expired) != nil {
+		separate := t.separate(usable)
+		e := p.bestEndpoint(s, t, separate)
+		if e == nil && p.bestEndpoint(s, t, t.separate(expired)) != nil {
 			p.renewAdvice(s, expired)
 			s.waitFor(WaitAdvice)
 			return true
 		}
 		if e == nil && p.mayPreempt(s) {
-			e = p.preemptForTask(s, usable)
+			e = p.preemptForTask(s, separate)
 		}
-		if e == nil {
+		if e == nil && !t.suspect() {
 			return false
 		}
+		if e == nil {
+			placedAll = false
+			continue
+		}
 		p.newRun(t, e, t.nextRunNumber())
 	}
-	return true
+	return placedAll
 }
 
 // nextRunNumber returns the number of the task's next run.
@@ -176,6 +182,10 @@
 	if total := e.Capacity[model.CPU]; total > 0 {
 		score = float64(e.planned[model.CPU]-size[model.CPU]) / float64(total)
 	}
+	if t.suspect() {
+		// A crash loses least on an empty endpoint.
+		score = 1 - score
+	}
 	if s.DataRack != "" && s.DataRack != e.Rack {
 		score += remoteRackPenalty
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -248,6 +248,13 @@
 	return p.catalog.Queues[j.Queue]
 }
 
+// StartSent records that the start of a run has been sent.
+func (p *Planner) StartSent(id jobs.RunID) {
+	if r := p.runs[id]; r != nil {
+		r.sent = true
+	}
+}
+
 // StartConfirmed handles an endpoint's confirmation of a start.
 func (p *Planner) StartConfirmed(id jobs.RunID) { p.fire(id, evConfirm) }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -38,6 +38,11 @@
 	// releasing is set while the run is being stopped, so that its capacity
 	// will soon be free.
 	releasing bool
+	// born is the start time of the endpoint's incarnation to which the run was
+	// dispatched; 0 if it is not known. sent is set when its start may have been
+	// sent, survived once the run has been listed survivalTime after its start.
+	born           int64
+	sent, survived bool
 }
 
 type runEvent = chart.Event
@@ -48,8 +53,8 @@
 	evDispatch, evConfirm, evReported, evRefused, evNoResponse, evStop runEvent
 	evInherit, evStopConfirmed, evEnd, evAbsent, evLapse, evRestarted  runEvent
 	// evYield makes a run yield its capacity, evKeep ends that.
-	evYield, evKeep                                            runEvent
-	runReserved, runStarting, runRunning, runYielding, runGone chart.State
+	evYield, evKeep                                                       runEvent
+	runReserved, runStarting, runRunning, runYielding, runEnding, runGone chart.State
 	// releasingStates are the states of a run whose capacity will soon be free.
 	releasingStates chart.StateSet
 )
@@ -79,6 +84,7 @@
 	runStarting = runsChart.MustState("starting")
 	runRunning = runsChart.MustState("running")
 	runYielding = runsChart.MustState("yielding")
+	runEnding = runsChart.MustState("ending")
 	runGone = runsChart.MustState("gone")
 	releasingStates = runsChart.MustSet("yielding", "stopping", "ending")
 }
@@ -117,10 +123,14 @@
 	if event == evConfirm || event == evStopConfirmed || event == evReported || event == evInherit {
 		r.repliedAt = p.now
 	}
+	if event == evConfirm || event == evReported || event == evInherit || event == evNoResponse && before == runStarting {
+		r.sent = true
+	}
 	if before == runReserved {
 		delete(p.reserved, r)
 		p.recordReservation(r, r.state == runGone)
 		r.endpoint.markDispatched(r)
+		r.born = r.endpoint.Born
 	}
 	r.enteredAt = p.now
 	if r.state == runRunning && before != runYielding {
@@ -132,16 +142,13 @@
 		r.task.step.job.markChanged()
 	}
 	if r.state == runGone {
-		if before != runReserved && (event == evLapse || event == evRestarted) {
-			p.recordLoss(r, event)
-		}
-		p.release(r, event)
+		p.release(r, event, before)
 	}
 }
 
-// release frees the capacity of an ended run. The task becomes pending again
-// unless the end of the run carried a result.
-func (p *Planner) release(r *run, event runEvent) {
+// release frees the capacity of a run that the event has ended in the given state.
+// The task becomes pending again unless the end of the run carried a result.
+func (p *Planner) release(r *run, event runEvent, before chart.State) {
 	p.markFreed(r.endpoint)
 	delete(p.runs, r.id)
 	r.endpoint.removeRun(r)
@@ -153,7 +160,15 @@
 	} else if t.secondRun == r {
 		t.secondRun = nil
 	}
-	if event != evEnd && t.run == nil {
+	lost := before != runReserved && r.lostWithEndpoint(event)
+	suspect := lost && r.maySuspect(before == runEnding)
+	if lost {
+		p.recordLoss(r, event, suspect)
+	}
+	if suspect {
+		t.recordCrash(r)
+		t.fire(evTaskCrash)
+	} else if event != evEnd && t.run == nil {
 		t.fire(evTaskRelease)
 	}
 	t.step.job.runEnded()
@@ -230,6 +245,7 @@
 	}
 	r.task.setCheckpoint(s.Saved)
 	r.fire(evReported)
+	r.checkSurvival()
 	return true
 }
 
@@ -276,6 +292,7 @@
 		return
 	}
 	t.setCheckpoint(end.Saved)
+	t.applyEndToCrashes(e, end)
 	var result chart.Event
 	switch end.Outcome {
 	case fleet.Succeeded:
@@ -333,6 +350,7 @@
 	}
 	r := p.newRun(t, e, record.Number)
 	r.fire(evInherit)
+	r.born = record.Born
 	if t.step.Gang {
 		t.step.gangRuns = max(t.step.gangRuns, record.Number)
 	}
--- a/planner/step.go
+++ b/planner/step.go
@@ -251,6 +251,13 @@
 			row.Failures[i] = t.failedRuns
 			found = true
 		}
+		if len(t.crashes) > 0 {
+			if row.Crashes == nil {
+				row.Crashes = map[int][]jobs.Crash{}
+			}
+			row.Crashes[i] = t.crashes
+			found = true
+		}
 		if t.lastCheckpoint != "" {
 			if row.Saved == nil {
 				row.Saved = map[int]string{}
@@ -260,7 +267,7 @@
 		}
 		for _, r := range t.liveRuns() {
 			if r.state != runReserved {
-				row.Runs = append(row.Runs, jobs.RunRecord{Task: i, Number: r.id.Number, Endpoint: r.endpoint.ID})
+				row.Runs = append(row.Runs, jobs.RunRecord{Task: i, Number: r.id.Number, Endpoint: r.endpoint.ID, Born: r.born})
 				found = true
 			}
 		}
@@ -274,6 +281,11 @@
 			s.tasks[i].failedRuns = numbers
 		}
 	}
+	for i, crashes := range row.Crashes {
+		if i < len(s.tasks) {
+			s.tasks[i].crashes = crashes
+		}
+	}
 	for i, saved := range row.Saved {
 		if i < len(s.tasks) {
 			s.tasks[i].lastCheckpoint = saved
