Suspect the runs started just before an endpoint stopped responding

Cause: bystanders that had not been listed yet counted like the task that crashed the endpoint, and a third endpoint was crashed where the second crash had told enough. A job fails after two crashes if the last was certain to be its task's, and after three otherwise; a gang always after three. Tests: two in planner/crash_test.go.

--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -51,6 +51,8 @@
 	Number int `json:"r"`
 	// Endpoint is the endpoint of the run.
 	Endpoint model.EndpointID `json:"e"`
+	// Sole is set if no run of another step can have crashed the endpoint.
+	Sole bool `json:"a,omitempty"`
 }
 
 // Status is the row from which status requests are served.
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -12,8 +12,10 @@
 
 const (
 	// crashLimit is the number of endpoints in a row that a task may crash before
-	// its job fails.
-	crashLimit = 3
+	// its job fails. soleCrashLimit applies if nothing else can have crashed the last
+	// one.
+	crashLimit     = 3
+	soleCrashLimit = 2
 	// survivalTime is how long after its start a run has to be listed to show that
 	// it does not crash its endpoint. A listing may have been sent between the
 	// start and the crash.
@@ -80,20 +82,64 @@
 func (r *run) restartedSince() bool { return r.born > 0 && r.endpoint.Born > r.born }
 
 // maySuspect reports whether the run, which was lost with its endpoint in the given
-// state, may have crashed it: its start was sent, and nothing shows that the
-// endpoint worked on after it.
+// state, may have crashed it: its start was sent, and no listing shows that the
+// endpoint has outlived it.
 func (r *run) maySuspect(ending bool) bool {
-	return r.sent && !r.survived && (!ending || r.restartedSince())
+	return !r.sentAt.IsZero() && !r.survived && (!ending || r.restartedSince())
+}
+
+// startedBeforeSilence reports whether the run was started less than survivalTime before
+// the endpoint stopped responding.
+func (r *run) startedBeforeSilence() bool {
+	silentAt := r.endpoint.silentAt
+	return !silentAt.IsZero() && silentAt.Sub(r.startTime()) < survivalTime
+}
+
+func (r *run) markSent() {
+	if r.sentAt.IsZero() {
+		r.sentAt = r.task.step.job.p.now
+	}
+}
+
+// startTime returns when the run was confirmed or first reported, or else when its
+// start was sent.
+func (r *run) startTime() time.Time {
+	if r.startedAt.IsZero() {
+		return r.sentAt
+	}
+	return r.startedAt
+}
+
+// crashSuspects are the runs that may have crashed a lost endpoint. A crash by a
+// run is observed soon after its start, so that the others are not suspected if
+// there are any started soon before the endpoint stopped responding.
+type crashSuspects struct {
+	// recent is set if only recent runs are suspected. sole is the step of all of
+	// them, nil if there are several.
+	recent bool
+	sole   *step
+}
+
+// findCrashSuspects determines the suspects before the runs of a lost endpoint end.
+func (e *endpoint) findCrashSuspects() {
+	e.suspects = crashSuspects{}
+	for r := range e.runs {
+		if !r.maySuspect(r.state == runEnding) || !r.startedBeforeSilence() {
+			continue
+		}
+		if e.suspects.recent && e.suspects.sole != r.task.step {
+			e.suspects.sole = nil
+			return
+		}
+		e.suspects = crashSuspects{recent: true, sole: r.task.step}
+	}
 }
 
 // checkSurvival records that a listing has shown the run. A run that is listed
 // survivalTime after its start has not crashed its endpoint.
 func (r *run) checkSurvival() {
-	p, since := r.task.step.job.p, r.startedAt
-	if since.IsZero() {
-		since = r.enteredAt
-	}
-	if r.survived || p.now.Sub(since) < survivalTime {
+	p := r.task.step.job.p
+	if r.survived || p.now.Sub(r.startTime()) < survivalTime {
 		return
 	}
 	r.survived = true
@@ -131,7 +177,9 @@
 	if slices.ContainsFunc(owner.crashes, func(c jobs.Crash) bool { return c.Number == r.id.Number }) {
 		return
 	}
-	owner.crashes = append(owner.crashes, jobs.Crash{Number: r.id.Number, Endpoint: r.endpoint.ID})
+	// A gang meets the crashes of many endpoints.
+	sole := r.endpoint.suspects.sole == t.step && !t.step.Gang
+	owner.crashes = append(owner.crashes, jobs.Crash{Number: r.id.Number, Endpoint: r.endpoint.ID, Sole: sole})
 	t.step.job.markChanged()
 }
 
@@ -165,7 +213,11 @@
 	}
 }
 
-func (t *task) crashLimitReached() bool { return len(t.failureOwner().crashes) >= crashLimit }
+func (t *task) crashLimitReached() bool {
+	crashes := t.failureOwner().crashes
+	n := len(crashes)
+	return n >= crashLimit || n >= soleCrashLimit && crashes[n-1].Sole
+}
 
 func (t *task) failCrashingJob() {
 	var endpoints []string
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -22,6 +22,8 @@
 	*fixture
 	deadly    map[jobs.ID]bool
 	endpoints int
+	// prompt is set if a crash is observed at once.
+	prompt bool
 	// starts counts the starts of each job, live has the runs of each endpoint.
 	starts   map[jobs.ID]int
 	live     map[model.EndpointID][]jobs.RunID
@@ -50,6 +52,11 @@
 		c.live[s.Endpoint] = append(c.live[s.Endpoint], s.Run)
 		crashed[s.Endpoint] = crashed[s.Endpoint] || c.deadly[s.Run.Task.Job]
 	}
+	for id, is := range crashed {
+		if is && c.prompt {
+			c.EndpointUnresponsive(id)
+		}
+	}
 	c.tick(300 * time.Millisecond)
 	for i := range c.endpoints {
 		id := endpointID(i)
@@ -134,6 +141,36 @@
 		}
 	})
 
+	It("is started twice if nothing else can have caused the second crash", func() {
+		c := newCrashingCell(3, "a")
+		c.prompt = true
+		c.submit("a", batch, single)
+		for i := range 6 {
+			c.submit(jobs.ID(fmt.Sprintf("b%d", i)), batch, single)
+		}
+		c.rounds(8)
+		Expect(c.outcomes).To(HaveLen(1))
+		Expect(c.outcomes["a"].State).To(Equal(jobs.Failed))
+		Expect(c.starts["a"]).To(Equal(2))
+	})
+
+	// On days on which endpoints crash by themselves, a job failed after two crashes
+	// that came 0.3 and 0.5 s after the starts of its task.
+	It("is not counted while another run was started later before the endpoint stopped responding", func() {
+		c := newCrashingCell(1)
+		c.submit("a", batch, single)
+		c.start(c.plan())
+		c.tick(300 * time.Millisecond)
+		c.submit("b", batch, single)
+		c.start(c.plan())
+		c.tick(10 * time.Millisecond)
+		c.EndpointUnresponsive("e00")
+		c.tick(time.Second)
+		c.crash("e00")
+		Expect(c.progress("a").Steps).To(BeEmpty())
+		Expect(c.progress("b").Steps[0].Crashes[0]).To(Equal([]jobs.Crash{{Number: 1, Endpoint: "e00", Sole: true}}))
+	})
+
 	It("does not delay the other tasks of its step while it waits for an endpoint", func() {
 		c := newCrashingCell(1)
 		c.submit("a", batch, single)
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -49,6 +49,10 @@
 	failures, quarantines int
 	excludedUntil         time.Time
 	runTimeRatio          runTimeRatio
+	// silentAt is when the endpoint stopped responding; zero while it responds.
+	silentAt time.Time
+	// suspects are those of the latest loss of the endpoint.
+	suspects crashSuspects
 }
 
 var endpointsChart *chart.Machine[endpoint]
@@ -95,7 +99,12 @@
 }
 
 // EndpointUnresponsive handles an endpoint that does not respond.
-func (p *Planner) EndpointUnresponsive(id model.EndpointID) { p.fireEndpoint(id, evEndpointNoResponse) }
+func (p *Planner) EndpointUnresponsive(id model.EndpointID) {
+	if e := p.endpoints[id]; e != nil && e.silentAt.IsZero() {
+		e.silentAt = p.now
+	}
+	p.fireEndpoint(id, evEndpointNoResponse)
+}
 
 // EndpointLapsed handles the end of an endpoint's lease. The caller must be certain
 // that it has lapsed.
@@ -136,6 +145,7 @@
 			e.handleRestart()
 		}
 	}
+	e.silentAt = time.Time{}
 	endpointsChart.Fire(&e.state, evEndpointResponded, e)
 }
 
@@ -145,6 +155,7 @@
 }
 
 func (e *endpoint) endRuns(event runEvent) {
+	e.findCrashSuspects()
 	for _, r := range e.sortedRuns() {
 		r.fire(event)
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -251,7 +251,7 @@
 // StartSent records that the start of a run has been sent.
 func (p *Planner) StartSent(id jobs.RunID) {
 	if r := p.runs[id]; r != nil {
-		r.sent = true
+		r.markSent()
 	}
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -39,10 +39,13 @@
 	// will soon be free.
 	releasing bool
 	// born is the start time of the endpoint's incarnation to which the run was
-	// dispatched; 0 if it is not known. sent is set when its start may have been
-	// sent, survived once the run has been listed survivalTime after its start.
-	born           int64
-	sent, survived bool
+	// dispatched; 0 if it is not known.
+	born int64
+	// sentAt is when its start was sent, or when the run was inherited; zero if it has
+	// not been sent. survived is set once the run has been listed survivalTime after
+	// its start.
+	sentAt   time.Time
+	survived bool
 }
 
 type runEvent = chart.Event
@@ -124,7 +127,7 @@
 		r.repliedAt = p.now
 	}
 	if event == evConfirm || event == evReported || event == evInherit || event == evNoResponse && before == runStarting {
-		r.sent = true
+		r.markSent()
 	}
 	if before == runReserved {
 		delete(p.reserved, r)
@@ -161,7 +164,7 @@
 		t.secondRun = nil
 	}
 	lost := before != runReserved && r.lostWithEndpoint(event)
-	suspect := lost && r.maySuspect(before == runEnding)
+	suspect := lost && r.maySuspect(before == runEnding) && (!r.endpoint.suspects.recent || r.startedBeforeSilence())
 	if lost {
 		p.recordLoss(r, event, suspect)
 	}
@@ -365,6 +368,7 @@
 
 // findAbsent ends the runs that the listing should have shown but did not.
 func (p *Planner) findAbsent(e *endpoint, requestedAt time.Time) {
+	e.findCrashSuspects()
 	for _, r := range e.sortedRuns() {
 		if r.lastListing == p.listingSeq || r.repliedAt.IsZero() || !r.repliedAt.Before(requestedAt) {
 			continue
