Test a task that crashes its endpoints with the cell's real parts

Cause: the stand-in for endpoints could not crash by a task's start, so that no test with real nodes showed BUDGET.

--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -28,6 +29,17 @@
 	}
 }
 
+// startsOf counts the runs of the job's tasks at the endpoints.
+func startsOf(s *harness.Site, job string) int {
+	n := 0
+	for _, r := range s.Checker.Runs() {
+		if strings.HasPrefix(r.Task, job+".") {
+			n++
+		}
+	}
+	return n
+}
+
 // completeAll waits until the node reports all jobs as completed and checks the
 // endpoints' runs for violations.
 func completeAll(s *harness.Site, node int) {
@@ -152,6 +164,31 @@
 		completeAll(s, 0)
 	})
 
+	// BUDGET: nothing counted the crashes, and a successor began without a count.
+	It("gives up a job whose task crashes its endpoints, across a take-over, and completes the others", func() {
+		s := harness.StartSite(3, 4, work)
+		for _, e := range s.Endpoints {
+			e.CrashOn(id(0))
+		}
+		holder := s.Holder()
+		Expect(s.Submit((holder+1)%3, id(0), 1)).To(Equal(http.StatusOK))
+		Eventually(func() int { return startsOf(s, id(0)) }, harness.WaitTimeout).Should(BeNumerically(">=", 1))
+		s.Nodes[holder].Signal(syscall.SIGKILL)
+		Expect(s.Nodes[holder].Ended()).To(HaveOccurred())
+		for i := 1; i < jobs; i++ {
+			Expect(s.Submit((holder+1)%3, id(i), 3)).To(Equal(http.StatusOK))
+		}
+		for i := 1; i < jobs; i++ {
+			s.Completed((holder+1)%3, id(i))
+		}
+		Eventually(func() string {
+			_, state := s.Call((holder+1)%3, http.MethodGet, id(0), nil)
+			return state
+		}, harness.WaitTimeout).Should(Equal("failed"))
+		Expect(startsOf(s, id(0))).To(BeNumerically("<=", 3))
+		Expect(s.Checker.AcknowledgedViolations()).To(BeEmpty())
+	})
+
 	It("repeats the work of an unresponsive endpoint once its lease has expired", func() {
 		s := harness.StartSite(1, 2, work)
 		submitAll(s)
