--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -172,17 +172,42 @@
 	})
 
 	It("does not delay the other tasks of its step while it waits for an endpoint", func() {
-		c := newCrashingCell(1)
+		c := newCrashingCell(2)
 		c.submit("a", batch, single)
 		c.tick(time.Millisecond)
 		c.submit("b", batch, jobs.Step{Count: 2, MaxPerEndpoint: 1, Size: size(1000, 100), Estimate: time.Second})
+		first := c.plan()
+		c.start(first)
+		crashing := first.Starts[0].Endpoint
+		var other planner.Start
+		for _, s := range first.Starts {
+			if s.Endpoint != crashing {
+				other = s
+			}
+		}
+		c.tick(300 * time.Millisecond)
+		c.list(other.Endpoint, running(other.Run, 10))
+		c.crash(crashing)
+		second := c.plan()
+		Expect(second.Starts).To(HaveLen(1), "the task of b that ran beside a is not started beside it again")
+		c.start(second)
+		c.EndpointLapsed(other.Endpoint)
+		third := c.plan()
+		Expect(third.Starts).To(HaveLen(1))
+		Expect(third.Starts[0].Run.Task).To(Equal(other.Run.Task))
+	})
+
+	It("is started next on the endpoint where least is lost", func() {
+		c := newCrashingCell(1)
+		c.submit("a", batch, single)
 		c.start(c.plan())
 		c.crash("e00")
-		var tasks []string
-		for _, s := range c.plan().Starts {
-			tasks = append(tasks, s.Run.Task.String())
-		}
-		Expect(tasks).To(ConsistOf("a.0.0.0", "b.0.0.1"), "b.0.0.0 ran beside a.0.0.0")
+		c.submit("b", urgent, jobs.Step{Count: 1, Size: size(8000, 100), Estimate: time.Second})
+		c.SetEndpoint(endpointInfo(2))
+		c.list(endpointID(2))
+		plan := c.plan()
+		Expect(plan.Starts).To(HaveLen(2))
+		Expect(plan.Starts[0].Endpoint).NotTo(Equal(plan.Starts[1].Endpoint))
 	})
 
 	It("is counted when the endpoint had listed its run before the crash", func() {
@@ -223,6 +248,7 @@
 			plan := c.plan()
 			Expect(plan.Starts).To(HaveLen(3))
 			c.start(plan)
+			c.EndpointUnresponsive(plan.Starts[i].Endpoint)
 			c.crash(plan.Starts[i].Endpoint)
 			for k, s := range plan.Starts {
 				if k != i {
