Call an unresponsive endpoint at once when another one registers at its address

Cause: the runs of a crashed endpoint are started again once a call to its address reaches another endpoint; that call waited for the next try, up to 0.8 s after the new endpoint had registered. Change: a new registry entry makes the renewals of the unresponsive endpoints at its address due. Test: holder/sessions_test.go; it fails without the call of retryRenewalsAt.

--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -304,11 +304,22 @@
 	}
 }
 
+// retryRenewalsAt makes the renewals due of the unresponsive endpoints at the
+// address, which a new endpoint uses. Its response shows that they have ended.
+func (c *cell) retryRenewalsAt(address string, now time.Time) {
+	for _, s := range c.sessions {
+		if s.address == address && s.failures > 0 {
+			s.nextRenewalAt = now
+		}
+	}
+}
+
 func (h *Holder) applyEntry(entry fleet.Endpoint) {
 	c := h.cell
 	s := c.sessions[entry.ID]
 	if s == nil {
 		s = h.addSession(entry.ID, entry.Address)
+		c.retryRenewalsAt(entry.Address, h.now)
 	}
 	if s.entry.ID == "" || s.entry.Leaving != entry.Leaving || s.entry.Born != entry.Born {
 		h.Log.Info("endpoint_entry", slog.String("endpoint", string(entry.ID)), slog.String("address", entry.Address),
--- a/holder/sessions_test.go
+++ b/holder/sessions_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/logging"
+	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/planner"
 )
 
@@ -46,3 +47,23 @@
 		Expect(s.lastListedEnd).To(BeZero())
 	})
 })
+
+var _ = Describe("An unresponsive endpoint", func() {
+	// The runs of a crashed endpoint waited for the next try, up to 0.8 s.
+	It("is called at once when a new endpoint registers at its address, and no other one is", func() {
+		h := &Holder{now: time.Unix(1000, 0)}
+		h.Log = logging.Discard()
+		h.cell = &cell{
+			planner: planner.New(1), sessions: map[model.EndpointID]*session{}, roster: map[model.EndpointID]rosterEntry{},
+			recorder: &recorder{}, commands: &commands{},
+		}
+		for _, id := range []model.EndpointID{"crashed", "cut"} {
+			h.applyEntry(fleet.Endpoint{ID: id, Address: "10.0.0.1:" + string(id), Born: 1})
+			s := h.cell.sessions[id]
+			s.failures, s.nextRenewalAt = 3, h.now.Add(renewalRetryMax)
+		}
+		h.applyEntry(fleet.Endpoint{ID: "new", Address: "10.0.0.1:crashed", Born: 2})
+		Expect(h.cell.sessions["crashed"].nextRenewalAt).To(Equal(h.now))
+		Expect(h.cell.sessions["cut"].nextRenewalAt).To(Equal(h.now.Add(renewalRetryMax)))
+	})
+})
