--- a/holder/stats.go
+++ b/holder/stats.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/metrics"
@@ -42,7 +43,7 @@
 		slog.String("reason", o.Reason), slog.String("queue", string(o.Queue)), slog.String("team", string(o.Team)),
 		slog.Duration("took", o.Took), slog.Uint64("epoch", h.cell.epoch),
 		slog.String("timeliness", string(o.Timeliness)), slog.Bool("surplus", o.Surplus),
-		slog.Int("preemptions", o.Preemptions), slog.Int("failed_runs", o.FailedRuns),
+		slog.Int("preemptions", o.Preemptions), slog.Int("failed_runs", o.FailedRuns), slog.Int("crashes", o.Crashes),
 	}
 	for cause, waited := range o.Waits {
 		name := planner.WaitCause(cause).String()
@@ -52,6 +53,19 @@
 	h.Log.Info("job_decided", attrs...)
 }
 
+func (h *Holder) logLoss(loss planner.EndpointLoss) {
+	counts.Add("endpoints_lost", 1)
+	counts.Add("runs_lost", int64(loss.Runs))
+	counts.Add("runs_lost_unlisted", int64(loss.Unlisted))
+	suspects := make([]string, len(loss.Suspects))
+	for i, run := range loss.Suspects {
+		suspects[i] = run.String()
+	}
+	h.Log.Warn("runs_lost", slog.String("endpoint", string(loss.Endpoint)), slog.String("cause", string(loss.Cause)),
+		slog.Int("runs", loss.Runs), slog.Int("unlisted", loss.Unlisted), slog.String("suspects", strings.Join(suspects, " ")),
+		slog.Uint64("epoch", h.cell.epoch))
+}
+
 func (h *Holder) logStats() {
 	c := h.cell
 	if h.now.Sub(c.statsLoggedAt) < statsPeriod {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -66,6 +66,8 @@
 	Changed []jobs.ID
 	// Removed are the jobs that have a final state and no live run.
 	Removed []jobs.ID
+	// Losses are the runs that ended with their endpoints.
+	Losses []EndpointLoss
 }
 
 // Planner holds the jobs, endpoints and runs of the cell.
@@ -250,6 +252,13 @@
 	return p.catalog.Queues[j.Queue]
 }
 
+// StartSent records that the start of a run has been sent.
+func (p *Planner) StartSent(id jobs.RunID) {
+	if r := p.runs[id]; r != nil {
+		r.markSent()
+	}
+}
+
 // StartConfirmed handles an endpoint's confirmation of a start.
 func (p *Planner) StartConfirmed(id jobs.RunID) { p.fire(id, evConfirm) }
 
