--- a/holder/holder.go
+++ b/holder/holder.go
@@ -78,7 +78,8 @@
 // Registry decodes the endpoint registry's rows.
 type Registry interface {
 	RegistryTable() string
-	RegistryRow(storage.Row) (fleet.Endpoint, error)
+	// RegistryRow decodes an entry; now is the date.
+	RegistryRow(row storage.Row, now time.Time) (fleet.Endpoint, error)
 	EndpointID(storage.Row) model.EndpointID
 }
 
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -281,7 +281,7 @@
 			h.markEntryMissing(id)
 			continue
 		}
-		entry, err := h.Registry.RegistryRow(change.Row)
+		entry, err := h.Registry.RegistryRow(change.Row, h.Wall.Now())
 		if err != nil {
 			h.Log.Warn("registry_entry_unusable", slog.String("endpoint", string(id)), slog.Any("error", err))
 			h.markEntryMissing(id)
