Give an endpoint no work from the moment its entry can't be used

Cause: an entry that could not be used counted as missing, so that the endpoint got work for another 2.2 s, although such an entry names no worker to use.

Change: the endpoint counts as leaving at once. Its runs and its lease go on at its last address, and a usable entry ends this.

--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -284,7 +284,7 @@
 		entry, err := h.Registry.RegistryRow(change.Row, h.Wall.Now())
 		if err != nil {
 			h.Log.Warn("registry_entry_unusable", slog.String("endpoint", string(id)), slog.Any("error", err))
-			h.markEntryMissing(id)
+			h.markEntryUnusable(id)
 			continue
 		}
 		h.applyEntry(entry)
@@ -304,6 +304,17 @@
 	}
 }
 
+// markEntryUnusable ends the use of an endpoint whose entry can't be used: it gets
+// no further starts until it has a usable entry. Its runs and its lease go on at its
+// last address.
+func (h *Holder) markEntryUnusable(id model.EndpointID) {
+	h.markEntryMissing(id)
+	if s := h.cell.sessions[id]; s != nil && s.entry.ID != "" && !s.entry.Leaving {
+		s.entry.Leaving = true
+		h.cell.planner.SetEndpoint(s.entry)
+	}
+}
+
 func (h *Holder) applyEntry(entry fleet.Endpoint) {
 	c := h.cell
 	s := c.sessions[entry.ID]
