Read the other rows of a listing when one can't be read

Cause: one row of an endpoint's listing that could not be decoded discarded the whole listing, and each later one. The endpoint counted as unresponsive, its lease expired with all its runs, and their ends were never read.

Change: the rows that can be read are applied. - A row that names no run sets More, so that nothing is concluded from the absence of a run. - A run whose checkpoint, progress or load can't be read is listed without them; an end whose outcome can't be read ends the run without a result. - An end with a number but without a run is acknowledged, so that the endpoint does not list it for ever.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -123,6 +123,8 @@
 	Lapsed Outcome = "lapsed"
 	// Broken means that another member of its gang ended.
 	Broken Outcome = "broken"
+	// EndUnknown means that the endpoint listed the end in a way that can't be read.
+	EndUnknown Outcome = "unknown"
 	// Abandoned means that the other members of its gang did not start in time.
 	Abandoned Outcome = "abandoned"
 )
@@ -148,8 +150,13 @@
 	Running []RunStatus
 	Ended   []End
 	// More is set when there are further ends, which are listed once these have
-	// been discarded.
+	// been discarded, and when a row names no run that can be read: a run that is
+	// not listed may exist.
 	More bool
+	// Unreadable is the number of rows that could not be read completely, Problem the
+	// reason for the first of them.
+	Unreadable int
+	Problem    string
 }
 
 // Errors of commands.
--- a/holder/oddentries_test.go
+++ b/holder/oddentries_test.go
@@ -314,3 +314,17 @@
 		f.completes(f.submit(2), oddWait)
 	})
 })
+
+// The listing was discarded as a whole, so that the endpoint lost its lease.
+var _ = Describe("Odd rows in an endpoint's listings", func() {
+	It("lose neither its runs nor their ends", func() {
+		f := newCellFixture()
+		e := f.endpoint("e", oddTaskTime)
+		job := f.submit(3)
+		Eventually(func() int { return f.runsOf("e") }, oddWait).Should(Equal(3))
+		e.SetOddRows([]any{nil, []any{"x", 1, "", 1}}, []any{[]any{"y"}})
+		f.completes(job, 2*oddTaskTime)
+		Expect(f.runsOf("e")).To(Equal(3))
+		Expect(f.checker.Violations()).To(BeEmpty())
+	})
+})
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -31,6 +31,9 @@
 	// renewalRetryBase and renewalRetryMax bound the pause after a failed renewal.
 	renewalRetryBase = 100 * time.Millisecond
 	renewalRetryMax  = 800 * time.Millisecond
+	// unreadablePause is the pause after a listing with rows that can't be read. The
+	// endpoint does not delay a listing while it has ends that are not acknowledged.
+	unreadablePause = 200 * time.Millisecond
 	// removalGrace is how long an entry may be missing from the registry before
 	// the endpoint counts as leaving: entries that lapse while the table is
 	// unavailable reappear within 2 s.
@@ -64,6 +67,8 @@
 	// missingSince is when the registry entry disappeared; zero while it exists.
 	missingSince time.Time
 	entry        fleet.Endpoint
+	// problem describes the unreadable rows of the last listing; empty for none.
+	problem string
 }
 
 func (h *Holder) leaseDuration() time.Duration { return min(leaseTime, h.MaxLease) }
@@ -216,6 +221,7 @@
 		s.newIncarnation(listing.Born, h.now)
 	}
 	s.clock, s.clockReadAt = listing.Clock, h.now
+	h.checkReadable(s, listing)
 	newListing := listing
 	newListing.Ended = nil
 	for _, e := range listing.Ended {
@@ -230,6 +236,20 @@
 	}
 }
 
+// checkReadable delays the next renewal after a listing with unreadable rows, and
+// logs them when they have changed.
+func (h *Holder) checkReadable(s *session, listing fleet.Listing) {
+	if listing.Unreadable > 0 {
+		s.nextRenewalAt = h.now.Add(unreadablePause)
+	}
+	if listing.Problem == s.problem {
+		return
+	}
+	s.problem = listing.Problem
+	h.Log.Warn("listing_rows_unreadable", slog.String("endpoint", string(s.id)), slog.Int("rows", listing.Unreadable),
+		slog.String("error", listing.Problem))
+}
+
 func (h *Holder) logEnd(s *session, e fleet.End) {
 	counts.Add("runs_"+string(e.Outcome), 1)
 	h.Log.Info("run_ended", slog.String("id", string(e.Run.Task.Job)), slog.String("run", e.Run.String()),
