Do not take a refusal at an unconfirmed address as the end of an endpoint

Cause: a call that another endpoint answers (421) means that the called one's process has ended, so that its runs were started again at once. With an entry that another writer has given the address of another endpoint, this is wrong: the endpoint runs on, and its task ran twice at the same time.

Change: after a change of the address in an entry without a later start time, a 421 counts only once the endpoint has responded at the new address. Until then its runs are started again when its lease has expired.

Before: "with the address of another endpoint do not start tasks again before their lease has ended" failed ("runs twice: 1 at victim, 2 at other"). After: passes (-race).

--- a/holder/oddentries_test.go
+++ b/holder/oddentries_test.go
@@ -272,6 +272,23 @@
 		Expect(f.runsOf("good")).To(Equal(4), "runs that were lost are started there again")
 	})
 
+	// The other endpoint's refusal counted as the end of the endpoint's process, so that
+	// its tasks were started again while they ran.
+	It("with the address of another endpoint do not start tasks again before their lease has ended", func() {
+		f := newCellFixture()
+		victim := f.endpoint("victim", 2*oddTaskTime)
+		job := f.submitSized(1, fullEndpoint)
+		Eventually(func() int { return f.runsOf("victim") }, oddWait).Should(Equal(1))
+		other := f.endpoint("other", 20*time.Millisecond)
+		time.Sleep(time.Second) // The run and the other endpoint have been listed.
+		entry := victim.Entry("ready")
+		entry["addr"] = other.Address
+		f.server.Put("servers", "victim", entry)
+		f.completes(job, 2*oddTaskTime)
+		victim.ExpireLease()
+		Expect(f.checker.Violations()).To(BeEmpty())
+	})
+
 	// The entry counted as missing, so that the endpoint was used for another 2.2 s.
 	It("that replace an endpoint's entry end its use at once, until it is written again", func() {
 		f := newCellFixture()
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -45,6 +45,9 @@
 type session struct {
 	id      model.EndpointID
 	address string
+	// addressUnconfirmed is set when the entry has another address than before
+	// without a later start time, until the endpoint has responded there.
+	addressUnconfirmed bool
 	// renewing is set while a renewal is in flight.
 	renewing bool
 	// clock is the endpoint's time that was received at clockReadAt; 0 before the
@@ -200,6 +203,9 @@
 		h.handleRenewalFailure(s, err)
 		return
 	}
+	if p.command.Target().Address == s.address {
+		s.addressUnconfirmed = false
+	}
 	if s.failures > 0 {
 		h.Log.Info("endpoint_regained", slog.String("endpoint", string(s.id)), slog.Int("failures", s.failures))
 	}
@@ -269,7 +275,7 @@
 			slog.Duration("lease_left", s.leaseEndsBy.Sub(h.now)))
 		c.planner.EndpointUnresponsive(s.id)
 	}
-	if eris.Is(err, fleet.ErrOtherEndpoint) {
+	if eris.Is(err, fleet.ErrOtherEndpoint) && !s.addressUnconfirmed {
 		// Another endpoint uses the address, so this one's process has ended.
 		s.leaseEndsBy = h.now
 		c.planner.EndpointLapsed(s.id)
@@ -345,8 +351,11 @@
 		h.Log.Info("endpoint_entry", slog.String("endpoint", string(entry.ID)), slog.String("address", entry.Address),
 			slog.String("domain", string(entry.Domain)), slog.Bool("leaving", entry.Leaving), slog.Int64("born", entry.Born))
 	}
-	if entry.Born > s.startTime && s.startTime > 0 {
+	switch {
+	case entry.Born > s.startTime && s.startTime > 0:
 		s.newIncarnation(entry.Born, h.now)
+	case s.address != "" && s.address != entry.Address:
+		s.addressUnconfirmed = true
 	}
 	c.commands.routesStale = c.commands.routesStale || s.entry.Domain != entry.Domain
 	s.entry, s.address, s.missingSince = entry, entry.Address, time.Time{}
