--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -31,6 +31,9 @@
 	// renewalRetryBase and renewalRetryMax bound the pause after a failed renewal.
 	renewalRetryBase = 100 * time.Millisecond
 	renewalRetryMax  = 800 * time.Millisecond
+	// unreadablePause is the pause after a listing with rows that can't be read. The
+	// endpoint does not delay a listing while it has ends that are not acknowledged.
+	unreadablePause = 200 * time.Millisecond
 	// removalGrace is how long an entry may be missing from the registry before
 	// the endpoint counts as leaving: entries that lapse while the table is
 	// unavailable reappear within 2 s.
@@ -42,6 +45,9 @@
 type session struct {
 	id      model.EndpointID
 	address string
+	// addressUnconfirmed is set when the entry has another address than before
+	// without a later start time, until the endpoint has responded there.
+	addressUnconfirmed bool
 	// renewing is set while a renewal is in flight.
 	renewing bool
 	// clock is the endpoint's time that was received at clockReadAt; 0 before the
@@ -64,6 +70,8 @@
 	// missingSince is when the registry entry disappeared; zero while it exists.
 	missingSince time.Time
 	entry        fleet.Endpoint
+	// problem describes the unreadable rows of the last listing; empty for none.
+	problem string
 }
 
 func (h *Holder) leaseDuration() time.Duration { return min(leaseTime, h.MaxLease) }
@@ -195,6 +203,9 @@
 		h.handleRenewalFailure(s, err)
 		return
 	}
+	if p.command.Target().Address == s.address {
+		s.addressUnconfirmed = false
+	}
 	if s.failures > 0 {
 		h.Log.Info("endpoint_regained", slog.String("endpoint", string(s.id)), slog.Int("failures", s.failures))
 	}
@@ -216,6 +227,7 @@
 		s.newIncarnation(listing.Born, h.now)
 	}
 	s.clock, s.clockReadAt = listing.Clock, h.now
+	h.checkReadable(s, listing)
 	newListing := listing
 	newListing.Ended = nil
 	for _, e := range listing.Ended {
@@ -230,6 +242,20 @@
 	}
 }
 
+// checkReadable delays the next renewal after a listing with unreadable rows, and
+// logs them when they have changed.
+func (h *Holder) checkReadable(s *session, listing fleet.Listing) {
+	if listing.Unreadable > 0 {
+		s.nextRenewalAt = h.now.Add(unreadablePause)
+	}
+	if listing.Problem == s.problem {
+		return
+	}
+	s.problem = listing.Problem
+	h.Log.Warn("listing_rows_unreadable", slog.String("endpoint", string(s.id)), slog.Int("rows", listing.Unreadable),
+		slog.String("error", listing.Problem))
+}
+
 func (h *Holder) logEnd(s *session, e fleet.End) {
 	counts.Add("runs_"+string(e.Outcome), 1)
 	h.Log.Info("run_ended", slog.String("id", string(e.Run.Task.Job)), slog.String("run", e.Run.String()),
@@ -249,7 +275,7 @@
 			slog.Duration("lease_left", s.leaseEndsBy.Sub(h.now)))
 		c.planner.EndpointUnresponsive(s.id)
 	}
-	if eris.Is(err, fleet.ErrOtherEndpoint) {
+	if eris.Is(err, fleet.ErrOtherEndpoint) && !s.addressUnconfirmed {
 		// Another endpoint uses the address, so this one's process has ended.
 		s.leaseEndsBy = h.now
 		c.planner.EndpointLapsed(s.id)
@@ -281,10 +307,10 @@
 			h.markEntryMissing(id)
 			continue
 		}
-		entry, err := h.Registry.RegistryRow(change.Row)
+		entry, err := h.Registry.RegistryRow(change.Row, h.Wall.Now())
 		if err != nil {
 			h.Log.Warn("registry_entry_unusable", slog.String("endpoint", string(id)), slog.Any("error", err))
-			h.markEntryMissing(id)
+			h.markEntryUnusable(id)
 			continue
 		}
 		h.applyEntry(entry)
@@ -314,6 +340,17 @@
 	}
 }
 
+// markEntryUnusable ends the use of an endpoint whose entry can't be used: it gets
+// no further starts until it has a usable entry. Its runs and its lease go on at its
+// last address.
+func (h *Holder) markEntryUnusable(id model.EndpointID) {
+	h.markEntryMissing(id)
+	if s := h.cell.sessions[id]; s != nil && s.entry.ID != "" && !s.entry.Leaving {
+		s.entry.Leaving = true
+		h.cell.planner.SetEndpoint(s.entry)
+	}
+}
+
 func (h *Holder) applyEntry(entry fleet.Endpoint) {
 	c := h.cell
 	s := c.sessions[entry.ID]
@@ -329,8 +366,11 @@
 		h.Log.Info("endpoint_capacity", slog.String("endpoint", string(entry.ID)), slog.Any("before", s.entry.Capacity),
 			slog.Any("after", entry.Capacity), slog.Any("used", c.planner.Used(entry.ID)))
 	}
-	if entry.Born > s.startTime && s.startTime > 0 {
+	switch {
+	case entry.Born > s.startTime && s.startTime > 0:
 		s.newIncarnation(entry.Born, h.now)
+	case s.address != "" && s.address != entry.Address:
+		s.addressUnconfirmed = true
 	}
 	c.commands.routesStale = c.commands.routesStale || s.entry.Domain != entry.Domain
 	s.entry, s.address, s.missingSince = entry, entry.Address, time.Time{}
