Stop only after callers have received the answers of a drain

Change: during a drain an answered connection is half closed, and closed when the caller has closed it, or after 400 ms.

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -22,11 +22,13 @@
 var evBytesRead, evNextRead, evWritten, evWriteFailed chart.Event
 var evHandlerBegun, evHandlerReturned, evIdle, evClosed chart.Event
 
-// stateAccepted is the state before the first byte. unrequested are the states in
+// stateAccepted is the state before the first byte, stateFlushing that after the
+// handler of a request. unrequested are the states in
 // which no byte of a request has been read.
 var (
-	stateAccepted chart.State
-	unrequested   chart.StateSet
+	stateAccepted, stateFlushing chart.State
+
+	unrequested chart.StateSet
 )
 
 const (
@@ -36,6 +38,9 @@
 	// firstReadTime bounds it on a connection that has had no request. Its first one
 	// is on its way, which takes a few round trips.
 	firstReadTime = 500 * time.Millisecond
+	// receiveTime bounds the wait for a caller to receive an answer and close the
+	// connection, which takes a round trip.
+	receiveTime = 400 * time.Millisecond
 )
 
 func init() {
@@ -51,6 +56,7 @@
 	evIdle = machine.MustEvent("idle")
 	evClosed = machine.MustEvent("closed")
 	stateAccepted = machine.MustState("accepted")
+	stateFlushing = machine.MustState("flushing")
 	unrequested = machine.MustSet("accepted", "waiting")
 }
 
@@ -201,14 +207,32 @@
 	return n, nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. During a drain it waits until the caller has received its
+// answer, since what is not yet sent may be lost with the process.
 func (c *conn) Close() error {
-	c.record(evClosed)
+	c.mu.Lock()
+	answered := c.state == stateFlushing
+	c.fire(evClosed)
+	c.mu.Unlock()
+	if answered && c.server.awaitsCallers() {
+		c.awaitCaller()
+	}
 	err := c.Conn.Close()
 	c.server.untrack(c)
 	return err
 }
 
+// awaitCaller waits until the caller closes the connection, for receiveTime at most.
+func (c *conn) awaitCaller() {
+	if c.CloseWrite() != nil {
+		return
+	}
+	c.setReadDeadline(time.Now().Add(receiveTime))
+	// Any result ends the wait: the caller has closed the connection, or has sent more
+	// after an answer with Connection: close, or the time is over.
+	_, _ = c.Conn.Read(make([]byte, 1))
+}
+
 // CloseWrite closes the sending side, as net/http does after an answer to a request
 // that it has not read to its end.
 func (c *conn) CloseWrite() error {
--- a/httpserve/drain_test.go
+++ b/httpserve/drain_test.go
@@ -233,6 +233,18 @@
 		Expect(f.log).NotTo(gbytes.Say("calls_cut_off"))
 	})
 
+	It("waits until the caller has received its answer", func() {
+		done := f.drain(waitTimeout)
+		c := f.connect()
+		c.send(whole)
+		Eventually(f.arrived).WithTimeout(waitTimeout).Should(Receive())
+		close(f.linger)
+		Consistently(done).WithTimeout(4 * settle).ShouldNot(BeClosed())
+		c.expectAnswer("ok")
+		Expect(c.Close()).To(Succeed())
+		Eventually(done).WithTimeout(4 * settle).Should(BeClosed())
+	})
+
 	It("does not wait for a caller that never completes its header", func() {
 		c := f.connect()
 		c.send(strings.TrimSuffix(whole, "\n"))
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -48,6 +48,8 @@
 	served   chan struct{}
 
 	phase atomic.Int32
+	// closed is set by Close.
+	closed atomic.Bool
 	// answerBy is the deadline of the requests that are read during a drain; nil if
 	// the drain has none.
 	answerBy atomic.Pointer[time.Time]
@@ -84,7 +86,13 @@
 }
 
 // Close closes the listener and all connections.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.closed.Store(true)
+	return s.http.Close()
+}
+
+// awaitsCallers reports whether a connection waits for its caller before it closes.
+func (s *Server) awaitsCallers() bool { return !s.is(serving) && !s.closed.Load() }
 
 // Drain serves until linger returns, closing each connection after its answer. It
 // then accepts no more connections, ends those on which no byte of a request has been
