Track connections with TLS by what net/http reads

Cause: connections were tracked below TLS, whose reads do not show where a request ends: a request that came between an answer and the event idle was recorded as part of the answered one, so that the drain ended its connection.

Change: the tracked connection is on top of TLS, and a handshake in progress is not interrupted. The channel that reports the last connection is closed once, also if the drain's time is over before the listener is closed.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -160,10 +160,13 @@
 		return eris.Wrap(err, "listening for callers")
 	}
 	server := httpserve.New(p.callersServer(limits), p.log)
-	callers = server.Listen(callers, func(l net.Listener) net.Listener { return httpapi.Listen(l, limits) })
-	if p.certificates != nil {
-		callers = tls.NewListener(callers, p.certificates.Config())
-	}
+	callers = server.Listen(callers, func(l net.Listener) net.Listener {
+		l = httpapi.Listen(l, limits)
+		if p.certificates != nil {
+			l = tls.NewListener(l, p.certificates.Config())
+		}
+		return l
+	})
 	p.process.OnDrain(func(ctx context.Context) {
 		server.Drain(ctx, func(ctx context.Context) { httpapi.Drain(ctx, p.front, p.settings.Gate.DrainLinger) })
 	})
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -65,6 +66,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// secured is the connection if it has TLS, and otherwise nil.
+	secured *tls.Conn
 
 	// mu guards the fields below: net/http reads on one goroutine while the handler
 	// runs on another.
@@ -84,11 +87,17 @@
 	// another one is in force, so that a read without bytes returns.
 	deadline time.Time
 	ending   bool
+	// shaken is set after the handshake of a connection with TLS.
+	shaken bool
 }
 
 // Read implements net.Conn. At the end of a drain it returns io.EOF if no byte of a
 // request has been read. Bytes that it has read are never discarded.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		c.recordRead(len(p), 0, err)
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	for n == 0 && isTimeout(err) && c.beginLastRead() {
 		n, err = c.Conn.Read(p)
@@ -100,6 +109,21 @@
 	return n, err
 }
 
+// handshake completes the handshake of a connection with TLS before its first read.
+func (c *conn) handshake() error {
+	if c.secured == nil || c.secured.ConnectionState().HandshakeComplete {
+		return nil
+	}
+	err := c.secured.Handshake()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shaken = true
+	if err == nil && c.server.is(finishing) {
+		c.endWaiting()
+	}
+	return err
+}
+
 // end makes the connection end unless bytes of a request have been read.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -107,10 +131,10 @@
 	c.endWaiting()
 }
 
-// endWaiting interrupts the read of a connection without a request. The caller holds
-// mu.
+// endWaiting interrupts the read of a connection without a request. A handshake is not
+// interrupted, since its request follows. The caller holds mu.
 func (c *conn) endWaiting() {
-	if !unrequested.Has(c.state) || c.ending {
+	if !unrequested.Has(c.state) || c.ending || c.secured != nil && !c.shaken {
 		return
 	}
 	c.ending = true
--- a/httpserve/fixture_test.go
+++ b/httpserve/fixture_test.go
@@ -37,15 +37,10 @@
 	linger chan struct{}
 }
 
-func newFixture() *fixture { return newLimitedFixture(nil) }
+func newFixture() *fixture { return newLayeredFixture(nil) }
 
-// newLimitedFixture returns a fixture whose connections are accepted through limit.
-func newLimitedFixture(limit func(net.Listener) net.Listener) *fixture {
-	return newLayeredFixture(limit, func(l net.Listener) net.Listener { return l })
-}
-
-// newLayeredFixture returns a fixture that serves on top of the tracked listener.
-func newLayeredFixture(limit, layer func(net.Listener) net.Listener) *fixture {
+// newLayeredFixture returns a fixture whose connections are accepted through layers.
+func newLayeredFixture(layers func(net.Listener) net.Listener) *fixture {
 	f := &fixture{log: gbytes.NewBuffer(), arrived: make(chan struct{}, 256), release: make(chan struct{}), linger: make(chan struct{})}
 	log, err := logging.New(f.log, "test", logging.Settings{Level: "info"}, clock.System{})
 	Expect(err).NotTo(HaveOccurred())
@@ -53,7 +48,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	f.address = listener.Addr().String()
 	f.server = httpserve.New(&http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: time.Second}, log)
-	tracked := layer(f.server.Listen(listener, limit))
+	tracked := f.server.Listen(listener, layers)
 	served := make(chan error, 1)
 	go func() { served <- f.server.Serve(tracked) }()
 	DeferCleanup(func() {
--- a/httpserve/late_test.go
+++ b/httpserve/late_test.go
@@ -46,7 +46,7 @@
 	// a request in its buffer.
 	It("answers a request that arrives as the last read times out", func() {
 		late := &lateListener{timedOut: make(chan struct{}), resume: make(chan struct{})}
-		f := newLimitedFixture(func(socket net.Listener) net.Listener {
+		f := newLayeredFixture(func(socket net.Listener) net.Listener {
 			late.Listener = socket
 			return late
 		})
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -58,7 +58,8 @@
 	mu   sync.Mutex
 	open map[*conn]struct{}
 	// quiet is closed when a drain is finishing and no connection is open.
-	quiet chan struct{}
+	quiet      chan struct{}
+	closeQuiet sync.Once
 }
 
 // New returns a server that serves by the settings of server, whose Handler,
@@ -74,8 +75,7 @@
 	return s
 }
 
-// Serve serves on the listener that Listen has returned, or on a TLS listener on top
-// of it, until Drain or Close.
+// Serve serves on the listener that Listen has returned until Drain or Close.
 func (s *Server) Serve(listener net.Listener) error {
 	defer close(s.served)
 	err := s.http.Serve(listener)
@@ -136,6 +136,7 @@
 
 func (s *Server) track(accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, server: s}
+	c.secured, _ = accepted.(*tls.Conn)
 	machine.Start(&c.state, c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,34 +154,25 @@
 	s.closeIfQuiet()
 }
 
-// closeIfQuiet closes quiet when the last connection has ended. No connection is
-// accepted once the drain is finishing. The caller holds mu.
+// closeIfQuiet closes quiet when the last connection has ended. A connection is accepted
+// later only if the drain's time was over before the listener was closed. The caller
+// holds mu.
 func (s *Server) closeIfQuiet() {
 	if s.is(finishing) && len(s.open) == 0 {
-		close(s.quiet)
+		s.closeQuiet.Do(func() { close(s.quiet) })
 	}
 }
 
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-func withConn(ctx context.Context, accepted net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, tracked(accepted))
-}
-
-// tracked returns the tracked connection under one that net/http serves; nil if
-// there is none.
-func tracked(served net.Conn) *conn {
-	if secured, ok := served.(*tls.Conn); ok {
-		served = secured.NetConn()
-	}
-	c, _ := served.(*conn)
-	return c
+func withConn(ctx context.Context, served net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, served)
 }
 
 // recordIdle is called by net/http when the state of a connection changes.
 func recordIdle(served net.Conn, state http.ConnState) {
-	if c := tracked(served); c != nil && state == http.StateIdle {
+	if c, ok := served.(*conn); ok && state == http.StateIdle {
 		c.record(evIdle)
 	}
 }
--- a/httpserve/tls_test.go
+++ b/httpserve/tls_test.go
@@ -26,7 +26,7 @@
 		pair.StartTLS()
 		certificates := pair.TLS.Certificates
 		pair.Close()
-		f := newLayeredFixture(nil, func(l net.Listener) net.Listener {
+		f := newLayeredFixture(func(l net.Listener) net.Listener {
 			return tls.NewListener(l, &tls.Config{Certificates: certificates})
 		})
 		idle, other, half := f.connectTLS(), f.connectTLS(), f.connectTLS()
