--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -22,11 +23,13 @@
 var evBytesRead, evNextRead, evWritten, evWriteFailed chart.Event
 var evHandlerBegun, evHandlerReturned, evIdle, evClosed chart.Event
 
-// stateAccepted is the state before the first byte. unrequested are the states in
+// stateAccepted is the state before the first byte, stateFlushing that after the
+// handler of a request. unrequested are the states in
 // which no byte of a request has been read.
 var (
-	stateAccepted chart.State
-	unrequested   chart.StateSet
+	stateAccepted, stateFlushing chart.State
+
+	unrequested chart.StateSet
 )
 
 const (
@@ -36,6 +39,9 @@
 	// firstReadTime bounds it on a connection that has had no request. Its first one
 	// is on its way, which takes a few round trips.
 	firstReadTime = 500 * time.Millisecond
+	// receiveTime bounds the wait for a caller to receive an answer and close the
+	// connection, which takes a round trip.
+	receiveTime = 400 * time.Millisecond
 )
 
 func init() {
@@ -51,6 +57,7 @@
 	evIdle = machine.MustEvent("idle")
 	evClosed = machine.MustEvent("closed")
 	stateAccepted = machine.MustState("accepted")
+	stateFlushing = machine.MustState("flushing")
 	unrequested = machine.MustSet("accepted", "waiting")
 }
 
@@ -59,6 +66,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// secured is the connection if it has TLS, and otherwise nil.
+	secured *tls.Conn
 
 	// mu guards the fields below: net/http reads on one goroutine while the handler
 	// runs on another.
@@ -78,11 +87,17 @@
 	// another one is in force, so that a read without bytes returns.
 	deadline time.Time
 	ending   bool
+	// shaken is set after the handshake of a connection with TLS.
+	shaken bool
 }
 
 // Read implements net.Conn. At the end of a drain it returns io.EOF if no byte of a
 // request has been read. Bytes that it has read are never discarded.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		c.recordRead(len(p), 0, err)
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	for n == 0 && isTimeout(err) && c.beginLastRead() {
 		n, err = c.Conn.Read(p)
@@ -94,6 +109,21 @@
 	return n, err
 }
 
+// handshake completes the handshake of a connection with TLS before its first read.
+func (c *conn) handshake() error {
+	if c.secured == nil || c.secured.ConnectionState().HandshakeComplete {
+		return nil
+	}
+	err := c.secured.Handshake()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shaken = true
+	if err == nil && c.server.is(finishing) {
+		c.endWaiting()
+	}
+	return err
+}
+
 // end makes the connection end unless bytes of a request have been read.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -101,10 +131,10 @@
 	c.endWaiting()
 }
 
-// endWaiting interrupts the read of a connection without a request. The caller holds
-// mu.
+// endWaiting interrupts the read of a connection without a request. A handshake is not
+// interrupted, since its request follows. The caller holds mu.
 func (c *conn) endWaiting() {
-	if !unrequested.Has(c.state) || c.ending {
+	if !unrequested.Has(c.state) || c.ending || c.secured != nil && !c.shaken {
 		return
 	}
 	c.ending = true
@@ -201,14 +231,32 @@
 	return n, nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. During a drain it waits until the caller has received its
+// answer, since what is not yet sent may be lost with the process.
 func (c *conn) Close() error {
-	c.record(evClosed)
+	c.mu.Lock()
+	answered := c.state == stateFlushing
+	c.fire(evClosed)
+	c.mu.Unlock()
+	if answered && c.server.awaitsCallers() {
+		c.awaitCaller()
+	}
 	err := c.Conn.Close()
 	c.server.untrack(c)
 	return err
 }
 
+// awaitCaller waits until the caller closes the connection, for receiveTime at most.
+func (c *conn) awaitCaller() {
+	if c.CloseWrite() != nil {
+		return
+	}
+	c.setReadDeadline(time.Now().Add(receiveTime))
+	// Any result ends the wait: the caller has closed the connection, or has sent more
+	// after an answer with Connection: close, or the time is over.
+	_, _ = c.Conn.Read(make([]byte, 1))
+}
+
 // CloseWrite closes the sending side, as net/http does after an answer to a request
 // that it has not read to its end.
 func (c *conn) CloseWrite() error {
