Try a step's other tasks only while separation holds one up

Cause: after a suspect could not be placed, the step's other tasks were tried even if the endpoints were full, each against all candidates. Change: placeTasks goes on only if separation took candidates away. Measured: planner tests; make check.

--- a/planner/place.go
+++ b/planner/place.go
@@ -120,10 +120,11 @@
 		if e == nil && p.mayPreempt(s) {
 			e = p.preemptForTask(s, separate)
 		}
-		if e == nil && !t.suspect() {
+		if e == nil && len(separate) == len(usable) {
 			return false
 		}
 		if e == nil {
+			// Other tasks of the step may not have to be kept apart.
 			placedAll = false
 			continue
 		}
