Do not send recorded starts whose ticket has expired

Cause: a start waits for the write that records it, which is retried while the table refuses.

Change: before sending, the ticket is checked like the capacity; the start is withdrawn and its step requests another ticket.

Measured: the new test of holder failed before (the start was sent) and passes now, with planner's.

--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -24,11 +24,14 @@
 func (h *Holder) sendStarts(starts []planner.Start) {
 	p := h.cell.planner
 	for _, s := range slices.Backward(starts) {
-		if p.StartPending(s.Run) && !p.MayStart(s.Run) {
+		if !p.StartPending(s.Run) {
+			continue
+		}
+		if err := p.CheckStart(s); err != nil {
 			counts.Add("starts_withdrawn", 1)
 			h.Log.Info("start_withdrawn", slog.String("id", string(s.Run.Task.Job)), slog.String("run", s.Run.String()),
-				slog.String("endpoint", string(s.Endpoint)))
-			p.StartRefused(s.Run, fleet.ErrRefused)
+				slog.String("endpoint", string(s.Endpoint)), slog.Any("error", err))
+			p.StartRefused(s.Run, err)
 		}
 	}
 	for _, s := range starts {
--- a/holder/runcommands_test.go
+++ b/holder/runcommands_test.go
@@ -150,4 +150,32 @@
 		recordedMessage{1}.apply(h)
 		Expect(h.sentStarts()).To(BeEmpty())
 	})
+
+	// The endpoint would refuse it, and the step would ask for another ticket later.
+	It("is not sent with a ticket that has expired meanwhile", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		p := h.cell.planner
+		p.SetCatalog(&catalog.Catalog{
+			Version: 2,
+			Queues: map[jobs.QueueName]*catalog.Queue{testQueue: {
+				Name: testQueue, Service: testService, Attempts: 3, Stretch: 4, Advice: &catalog.Advice{TicketValidity: time.Second},
+			}},
+			Services: map[catalog.ServiceName]*catalog.Service{testService: {Name: testService}},
+			Teams:    map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 100}},
+		})
+		p.SetAdviceInstances(1)
+		p.AddJob(&jobs.Job{ID: "a", Team: "red", Queue: testQueue, Steps: []jobs.Step{one}, Accepted: h.now.UnixMilli()}, nil)
+		p.Decide()
+		p.ApplyAdvice(p.TakePlan().AdviceRequests[0], map[model.EndpointID]string{"e": "ticket"}, h.now)
+		p.Decide()
+		h.cell.recorder.startsInWrite = p.TakePlan().Starts
+		Expect(h.cell.recorder.startsInWrite).To(HaveLen(1))
+
+		h.now = h.now.Add(time.Second)
+		p.SetTime(h.now, h.now.UnixMilli())
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(BeEmpty())
+		p.Decide()
+		Expect(p.TakePlan().AdviceRequests).To(HaveLen(1), "a ticket is requested at once")
+	})
 })
--- a/planner/capacity_property_test.go
+++ b/planner/capacity_property_test.go
@@ -168,7 +168,7 @@
 
 func (s *simulation) sendStarts() {
 	for _, start := range slices.Backward(s.unsent) {
-		if s.StartPending(start.Run) && !s.MayStart(start.Run) {
+		if s.StartPending(start.Run) && s.CheckStart(start) != nil {
 			s.StartRefused(start.Run, fleet.ErrRefused)
 		}
 	}
--- a/planner/dispatch.go
+++ b/planner/dispatch.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/fleet"
 )
 
 const (
@@ -114,12 +114,33 @@
 	}
 }
 
-// MayStart reports whether a run whose start has been planned but not sent may
-// still be started: since then, its endpoint may have shrunk, begun to leave, been
-// evacuated or listed runs of unknown size.
-func (p *Planner) MayStart(id jobs.RunID) bool {
-	r := p.runs[id]
-	return r != nil && p.permits(r.task.step, r.endpoint) && fits(r.size, r.endpoint.free.Add(r.size))
+// CheckStart returns an error if a start that has been planned but not sent must not
+// be sent: fleet.ErrRefused if its endpoint has begun to leave, been evacuated or listed
+// runs of unknown size since then, fleet.ErrNoCapacity if it has shrunk, and
+// fleet.ErrTicket if the ticket has expired.
+func (p *Planner) CheckStart(start Start) error {
+	r := p.runs[start.Run]
+	switch {
+	case r == nil || !p.permits(r.task.step, r.endpoint):
+		return fleet.ErrRefused
+	case !fits(r.size, r.endpoint.free.Add(r.size)):
+		return fleet.ErrNoCapacity
+	case !p.acceptsTicket(r, start.Ticket):
+		return fleet.ErrTicket
+	default:
+		return nil
+	}
+}
+
+// acceptsTicket reports whether the endpoint accepts the ticket now, without the margin
+// for the time that a start takes.
+func (p *Planner) acceptsTicket(r *run, value string) bool {
+	queue := p.queueOf(r.task.step.job)
+	if queue == nil || queue.Advice == nil {
+		return true
+	}
+	t, found := r.task.step.advice.eligible[r.endpoint.ID]
+	return found && t.value == value && t.startedAt == r.endpoint.Born && p.now.Before(t.expires.Add(ticketMargin))
 }
 
 // renewTickets requests advice about the endpoints of reservations whose tickets
