Sort and allocate less in the planner's rounds under a backlog

Cause: callers saw short jobs (dispatch-check) answered late, not refused. Under a backlog a job waits two or three of the planner's rounds: one until its advice request is sent, one until it is placed. A round examined and sorted all runs of each endpoint for each waiting step by the text of their names, even where nothing may be stopped, sorted the eligible endpoints of each step, and chose endpoints for advice requests that could not be sent.

Change: runs are compared by the parts of their names; runs to stop are sorted only where they free enough; the order of a step's eligible endpoints is kept until the next advice; no endpoints are chosen while no advice request can be sent. What is decided stays the same, except for the order of equal runs (by number, no longer by text).

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -66,6 +66,12 @@
 	return p.longRequests < max(p.adviceInstances-1, 1)
 }
 
+// canRequestAny reports whether a request about any number of endpoints can be sent
+// soon.
+func (p *Planner) canRequestAny(advice *catalog.Advice) bool {
+	return p.canRequestAdvice(advice.Cost(1)) || p.canRequestAdvice(advice.Cost(maxAdviceEndpoints))
+}
+
 // countAdviceRequest adds n to the requests in flight of the cost's kind: 1
 // for a new request, -1 for a response.
 func (p *Planner) countAdviceRequest(cost time.Duration, n int) {
@@ -100,8 +106,11 @@
 
 // adviceCandidates selects the endpoints for a request, those with the most
 // free capacity first. Capacity that preemption could free counts only if no
-// endpoint has any free.
+// endpoint has any free. It returns nil if no request can be sent soon.
 func (p *Planner) adviceCandidates(s *step, queue *catalog.Queue) []*endpoint {
+	if !p.canRequestAny(queue.Advice) {
+		return nil
+	}
 	size := s.Committed()
 	list, maxSlots := p.endpointsByCapacity(s, size, func(e *endpoint) model.Resources { return e.planned })
 	if len(list) == 0 {
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -163,10 +163,10 @@
 
 // compareRuns orders runs by task and number.
 func compareRuns(a, b *run) int {
-	if a.id.Task != b.id.Task {
-		return strings.Compare(a.id.Task.String(), b.id.Task.String())
-	}
-	return cmp.Compare(a.id.Number, b.id.Number)
+	x, y := a.id.Task, b.id.Task
+	return cmp.Or(
+		strings.Compare(string(x.Job), string(y.Job)), cmp.Compare(x.Occurrence, y.Occurrence),
+		cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.id.Number, b.id.Number))
 }
 
 func (e *endpoint) addRun(r *run) {
--- a/planner/place.go
+++ b/planner/place.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/catalog"
@@ -76,12 +75,11 @@
 		return p.sortedEndpoints()
 	}
 	list := make([]*endpoint, 0, len(s.advice.eligible))
-	for id, t := range s.advice.eligible {
-		if e := p.endpoints[id]; e != nil && t.startedAt == e.Born {
+	for _, id := range s.advice.eligibleInOrder() {
+		if e := p.endpoints[id]; e != nil && s.advice.eligible[id].startedAt == e.Born {
 			list = append(list, e)
 		}
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
 	return list
 }
 
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -1,9 +1,9 @@
 package planner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/model"
@@ -21,6 +21,9 @@
 // could have on the endpoint by preempting less urgent runs.
 func (p *Planner) capacityWithPreemption(e *endpoint, priority int) model.Resources {
 	capacity := e.planned
+	if priority >= p.lowestPriority {
+		return capacity
+	}
 	for r := range e.runs {
 		if p.preemptible(r, priority) {
 			capacity = capacity.Add(r.size)
@@ -44,9 +47,12 @@
 // priority. Gangs are never preempted, since stopping one member ends the
 // work of all.
 func (p *Planner) preemptible(r *run, priority int) bool {
-	queue := p.queueOf(r.task.step.job)
-	return r.state == runRunning && queue != nil && queue.Priority > priority &&
-		r.task.preemptions < maxPreemptions && !r.task.step.Gang && !r.task.step.Lasting && !r.task.step.job.closing()
+	s := r.task.step
+	if r.state != runRunning || s.Gang || s.Lasting || r.task.preemptions >= maxPreemptions || s.job.closing() {
+		return false
+	}
+	queue := p.queueOf(s.job)
+	return queue != nil && queue.Priority > priority
 }
 
 // preemptForTask preempts less urgent runs on the endpoint where that costs
@@ -79,14 +85,10 @@
 	if fits(size, capacity) {
 		return nil, 0, true
 	}
-	var preemptible []*run
-	for _, r := range e.sortedRuns() {
-		if p.preemptible(r, s.rank.priority) {
-			preemptible = append(preemptible, r)
-		}
+	if !fits(size, p.capacityWithPreemption(e, s.rank.priority)) {
+		return nil, 0, false
 	}
-	sort.SliceStable(preemptible, func(i, k int) bool { return p.preemptionCost(preemptible[i]) < p.preemptionCost(preemptible[k]) })
-	for _, r := range preemptible {
+	for _, r := range p.preemptibleByCost(e, s.rank.priority) {
 		list = append(list, r)
 		cost += p.preemptionCost(r)
 		capacity = capacity.Add(r.size)
@@ -97,6 +99,21 @@
 	return nil, 0, false
 }
 
+// preemptibleByCost returns the endpoint's runs that may be stopped for a step of the
+// priority, those that lose the least work first.
+func (p *Planner) preemptibleByCost(e *endpoint, priority int) []*run {
+	var list []*run
+	for r := range e.runs {
+		if p.preemptible(r, priority) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(p.preemptionCost(a), p.preemptionCost(b)), compareRuns(a, b))
+	})
+	return list
+}
+
 // preemptionCost returns the work that is lost when the run makes room for others,
 // in core-milliseconds.
 func (p *Planner) preemptionCost(r *run) float64 {
--- a/planner/step.go
+++ b/planner/step.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/chart"
@@ -48,12 +50,23 @@
 // advice is the state of the advice about a step: the endpoints that were
 // named in requests and those that may run it.
 type advice struct {
-	requested   map[model.EndpointID]bool
-	eligible    map[model.EndpointID]ticket
+	requested map[model.EndpointID]bool
+	eligible  map[model.EndpointID]ticket
+	// eligibleIDs caches the keys of eligible in order; nil after a change.
+	eligibleIDs []model.EndpointID
 	outstanding bool
 	requestedAt time.Time
 }
 
+// eligibleInOrder returns the endpoints that may run the step, in the order of their
+// names.
+func (a *advice) eligibleInOrder() []model.EndpointID {
+	if a.eligibleIDs == nil {
+		a.eligibleIDs = slices.Sorted(maps.Keys(a.eligible))
+	}
+	return a.eligibleIDs
+}
+
 // ticket allows a step to run on one incarnation of an endpoint.
 type ticket struct {
 	value     string
@@ -223,6 +236,7 @@
 	if queue == nil || queue.Advice == nil {
 		return
 	}
+	s.advice.eligibleIDs = nil
 	for id, value := range tickets {
 		if e := p.endpoints[id]; e != nil {
 			s.advice.eligible[id] = ticket{value: value, expires: respondedAt.Add(queue.Advice.TicketValidity - ticketMargin), startedAt: e.Born}
