Close a server once its drain's time is over

Cause: a drain closes the listener, so that Serve returns; ServeUntilStopped returned with it and dropped the registered Close. Calls that outlasted the drain were cut by the end of the process, with calls_cut_off but without a request_cut, and requests_cut did not count them.

Change: ServeUntilStopped closes the server when the process stops, also after its Serve has returned.

Test: failed before (log: calls_cut_off connections=1 and no request_cut), passes with the change; process and httpserve pass with -race.

--- a/process/http.go
+++ b/process/http.go
@@ -44,13 +44,18 @@
 }
 
 // ServeUntilStopped serves on the listener until the server is drained or the
-// process stops. It registers no drainer: the caller does that when the server
-// has to drain.
+// process stops, and then closes it. It registers no drainer: the caller does that
+// when the server has to drain.
 func (p *Process) ServeUntilStopped(listener net.Listener, server HTTPServer) {
 	p.group.Serve(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		return server.Serve(listener)
+		if err := server.Serve(listener); err != nil {
+			return err
+		}
+		// Serve returns when a drain closes the listener, before the connections end.
+		<-ctx.Done()
+		return eris.Wrap(server.Close(), "closing the HTTP server")
 	})
 }
 
