Share one read of the numbers of waiting jobs among its callers

Cause: GET of a queue held a lock across the read of the table. While the table did not answer, each caller made its own read after the one before it: with a stalled table 4 callers at once took 4.8 s, the last of n takes n x 1.2 s, past its deadline and past the 5 s of a drain, where it gets no answer at all.

Change: callers that arrive during a read share its result (singleflight of x/sync, already a dependency). A result can be as old as its read, 1.2 s at most.

Test: failed before (4.8 s for a queue's timeout of 2 s), passes with the change, also with -race.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -170,3 +170,38 @@
 		Expect(codes).To(ContainElement(result.OutcomeUnknown))
 	})
 })
+
+// stalledTable is a table whose reads end without a reply at their timeout.
+type stalledTable struct{ storage.FeedTable }
+
+func (stalledTable) Get(ctx context.Context, _ string) (storage.Row, error) {
+	<-ctx.Done()
+	return storage.Row{}, storage.ErrUnavailable
+}
+
+var _ = Describe("A request for the number of waiting jobs", func() {
+	// Each caller read the table after the one before it, so that the last of many
+	// waited far beyond its deadline, and beyond the drain of its instance.
+	It("is answered by its deadline while the table does not answer", func() {
+		v := view.New(fakeDecoder{}, noListener{}, clock.Boot{}, logging.Discard())
+		v.Update(feed.Update{Full: true, Changes: []storage.Change{{}}, RequestedAt: clock.Boot{}.Now()})
+		f := front.New(context.Background(), front.Options{Parts: 1, View: v, Table: stalledTable{}, Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
+		const callers = 4
+		group := duty.NewGroup(context.Background())
+		began := time.Now()
+		var mu sync.Mutex
+		var slowest time.Duration
+		for range callers {
+			group.Serve(func(context.Context) error {
+				answer := f.State(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/"})
+				mu.Lock()
+				defer mu.Unlock()
+				slowest = max(slowest, time.Since(began))
+				Expect(answer.Code).To(Equal(result.StoreUnavailable))
+				return nil
+			})
+		}
+		Expect(group.Wait()).To(Succeed())
+		Expect(slowest).To(BeNumerically("<", 2500*time.Millisecond), "the queue's timeout is 2 s")
+	})
+})
--- a/front/status.go
+++ b/front/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/holder"
@@ -139,25 +140,56 @@
 
 // queuesCache caches the numbers of waiting jobs for queuesMaxAge.
 type queuesCache struct {
-	// mu guards the fields, which callers' threads share.
+	// reads makes callers that arrive during a read share its result. If each made
+	// its own, the last of many would wait for the timeouts of all others.
+	reads singleflight.Group
+	// mu guards the fields below, which callers' threads share.
 	mu          sync.Mutex
 	requestedAt time.Time
-	waiting     map[jobs.QueueName]int
+	// waiting is not changed once it is set; nil before the first read.
+	waiting map[jobs.QueueName]int
 }
 
+// get returns the cached numbers, or nil if they are older than queuesMaxAge.
+func (c *queuesCache) get(now time.Time) map[jobs.QueueName]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.requestedAt) > queuesMaxAge {
+		return nil
+	}
+	return c.waiting
+}
+
+func (c *queuesCache) set(requestedAt time.Time, waiting map[jobs.QueueName]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestedAt, c.waiting = requestedAt, waiting
+}
+
+// queuesRead is the result of a read: the numbers of waiting jobs, or the answer to
+// a call that is refused.
+type queuesRead struct {
+	waiting map[jobs.QueueName]int
+	refused *Answer
+}
+
+// waiting returns the number of waiting jobs of the call's queue. It takes no longer
+// than one read.
 func (f *Front) waiting(call admittedCall) Answer {
-	f.waitingJobs.mu.Lock()
-	defer f.waitingJobs.mu.Unlock()
-	now := f.Clock.Now()
-	if f.waitingJobs.waiting == nil || now.Sub(f.waitingJobs.requestedAt) > queuesMaxAge {
-		if refused := f.readQueues(now); refused != nil {
-			return *refused
-		}
+	read, _, _ := f.waitingJobs.reads.Do("", func() (any, error) { return f.readQueues(), nil })
+	found, _ := read.(queuesRead)
+	if found.refused != nil {
+		return *found.refused
 	}
-	return Answer{Code: result.OK, Waiting: f.waitingJobs.waiting[call.queue.Name]}
+	return Answer{Code: result.OK, Waiting: found.waiting[call.queue.Name]}
 }
 
-func (f *Front) readQueues(now time.Time) *Answer {
+// readQueues returns the numbers of waiting jobs from the cache or the table.
+func (f *Front) readQueues() queuesRead {
+	now := f.Clock.Now()
+	if cached := f.waitingJobs.get(now); cached != nil {
+		return queuesRead{waiting: cached}
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, readTimeout)
 	defer cancel()
 	var found holder.Queues
@@ -165,17 +197,17 @@
 	switch {
 	case eris.Is(err, storage.ErrNotFound):
 	case err != nil:
-		return f.refuse(result.StoreUnavailable, err.Error())
+		return queuesRead{refused: f.refuse(result.StoreUnavailable, err.Error())}
 	default:
 		if err := json.Unmarshal(row.Value, &found); err != nil {
-			return f.refuse(result.StoreUnavailable, "the numbers of waiting jobs can't be read")
+			return queuesRead{refused: f.refuse(result.StoreUnavailable, "the numbers of waiting jobs can't be read")}
 		}
 	}
-	f.waitingJobs.requestedAt, f.waitingJobs.waiting = now, found.Waiting
-	if f.waitingJobs.waiting == nil {
-		f.waitingJobs.waiting = map[jobs.QueueName]int{}
+	if found.Waiting == nil {
+		found.Waiting = map[jobs.QueueName]int{}
 	}
-	return nil
+	f.waitingJobs.set(now, found.Waiting)
+	return queuesRead{waiting: found.Waiting}
 }
 
 // finalStatusCache caches final statuses, which don't change. When it is full, it
