Look at the buffer of a limited or secured connection before it ends

Cause: the gate limits its connections (netutil) and may secure them; these hide the socket. At the end of a drain the connection's buffer was not looked at, and a request that arrived as the last read timed out got no answer. An answered connection that is limited was not closed for sending either, while the server waited for the caller.

Change: the listener records the socket of the connection that it accepts; the look at the buffer and, without TLS, CloseWrite use it.

Test: 'A slow instance that limits its connections' failed before (connection reset by peer), passes with the change. A test of two requests in one segment passed before, too. httpserve passes with -race.

--- a/httpserve/acceptor.go
+++ b/httpserve/acceptor.go
@@ -24,18 +24,34 @@
 type acceptor struct {
 	net.Listener
 	// socket is the listener without the layers on top of it.
-	socket  net.Listener
+	socket  *socketListener
 	server  *Server
 	stopped atomic.Bool
 }
 
+// socketListener records the connection that was accepted last: a layer may return
+// one that hides the methods of its socket.
+type socketListener struct {
+	net.Listener
+	accepted net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *socketListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	l.accepted = accepted
+	return accepted, err
+}
+
 // Listen returns a listener whose connections the server tracks. layers, which may be
-// nil, returns a listener on top of socket, which limits or secures its connections.
-// Listen is called once, before Serve and Drain.
+// nil, returns a listener on top of socket, which limits or secures its connections
+// and whose Accept returns the connection that it has accepted last. Listen is called
+// once, before Serve and Drain.
 func (s *Server) Listen(socket net.Listener, layers func(net.Listener) net.Listener) net.Listener {
-	s.acceptor = &acceptor{Listener: socket, socket: socket, server: s}
+	recorded := &socketListener{Listener: socket}
+	s.acceptor = &acceptor{Listener: recorded, socket: recorded, server: s}
 	if layers != nil {
-		s.acceptor.Listener = layers(socket)
+		s.acceptor.Listener = layers(recorded)
 	}
 	return s.acceptor
 }
@@ -46,7 +62,7 @@
 		accepted, err := a.Listener.Accept()
 		switch {
 		case err == nil:
-			return a.server.track(accepted), nil
+			return a.server.track(accepted, a.socket.accepted), nil
 		case !a.stopped.Load():
 			return nil, err
 		case isTimeout(err) && a.queued():
@@ -62,7 +78,7 @@
 // queued reports whether a connection waits to be accepted: on a busy instance Accept
 // may time out though one does.
 func (a *acceptor) queued() bool {
-	socket, ok := a.socket.(syscall.Conn)
+	socket, ok := a.socket.Listener.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -80,7 +96,7 @@
 // setDeadline bounds the wait for a connection. An error means that the listener is
 // closed.
 func (a *acceptor) setDeadline() {
-	if socket, ok := a.socket.(interface{ SetDeadline(time.Time) error }); ok {
+	if socket, ok := a.socket.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		_ = socket.SetDeadline(time.Now().Add(lastAcceptTime))
 	}
 }
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -65,6 +65,8 @@
 // no complete answer.
 type conn struct {
 	net.Conn
+	// socket is the connection without the layers on top of it.
+	socket net.Conn
 	server *Server
 	// secured is the connection if it has TLS, and otherwise nil.
 	secured *tls.Conn
@@ -158,9 +160,10 @@
 }
 
 // endEmpty closes the sending side unless bytes have arrived: a read on a busy instance
-// may time out though they have. It reports whether none had.
+// may time out though they have. It reports whether none had. With TLS the sending
+// side is closed by Close, which sends an alert before.
 func (c *conn) endEmpty() bool {
-	socket, ok := c.Conn.(syscall.Conn)
+	socket, ok := c.socket.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -170,7 +173,7 @@
 	}
 	arrived := 0
 	err = raw.Control(func(fd uintptr) {
-		if arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && arrived == 0 {
+		if arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && arrived == 0 && c.secured == nil {
 			err = unix.Shutdown(int(fd), unix.SHUT_WR)
 		}
 	})
@@ -260,7 +263,11 @@
 // CloseWrite closes the sending side, as net/http does after an answer to a request
 // that it has not read to its end.
 func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	served := c.socket
+	if c.secured != nil {
+		served = c.secured
+	}
+	if half, ok := served.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -134,8 +134,8 @@
 	return len(s.open)
 }
 
-func (s *Server) track(accepted net.Conn) *conn {
-	c := &conn{Conn: accepted, server: s}
+func (s *Server) track(accepted, socket net.Conn) *conn {
+	c := &conn{Conn: accepted, socket: socket, server: s}
 	c.secured, _ = accepted.(*tls.Conn)
 	machine.Start(&c.state, c)
 	s.mu.Lock()
