Answer a refused job as unknown after its group has conflicted

Cause: a relayed table repeats a write without a reply through another instance, and the repetition conflicts with the first attempt. The writer took this for a plain conflict and wrote each job by itself; if the table then refused that, the caller got 'not accepted' for a job that was stored and ran.

Change: after the conflict of a group each job counts as one that may have been written.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -141,36 +141,53 @@
 		Expect(submit(startFront(ambiguous), "a", "key").Code).To(Equal(result.OutcomeUnknown))
 	})
 
+	// A relayed table repeats a write without a reply; the repetition conflicts with it.
+	It("has an unknown outcome when its group conflicts and may have been written", func() {
+		codes := submitGroup(
+			writeOutcome{applied: true, err: storage.ErrConflict}, // the group, repeated by the table
+			writeOutcome{err: storage.ErrRefused},                 // each job by itself
+			writeOutcome{err: storage.ErrRefused},
+		)
+		Expect(codes).NotTo(ContainElement(result.StoreUnavailable))
+		Expect(codes).To(ContainElement(result.OutcomeUnknown))
+	})
+
 	It("has an unknown outcome when its group was written but the reply was lost", func() {
-		t := &scriptedTable{proceed: make(chan struct{}), script: []writeOutcome{
-			{applied: true}, // the first job by itself
-			{applied: true, err: storage.ErrUnavailable}, // the group; the reply is lost
-			{err: storage.ErrConflict},                   // the retry of the group
-			{err: storage.ErrRefused},                    // each job by itself
-			{err: storage.ErrRefused},
-		}}
-		f := startFront(t)
-		answers := make(chan front.Answer, 3)
-		group := duty.NewGroup(context.Background())
-		submitAsync := func(id string) {
-			group.Serve(func(context.Context) error {
-				answers <- submit(f, id, "key")
-				return nil
-			})
-		}
-		submitAsync("first")
-		time.Sleep(100 * time.Millisecond)
-		submitAsync("a")
-		submitAsync("b")
-		time.Sleep(100 * time.Millisecond)
-		close(t.proceed)
-		Expect(group.Wait()).To(Succeed())
-		codes := []result.Code{(<-answers).Code, (<-answers).Code, (<-answers).Code}
+		codes := submitGroup(
+			writeOutcome{applied: true, err: storage.ErrUnavailable}, // the group; the reply is lost
+			writeOutcome{err: storage.ErrConflict},                   // the retry of the group
+			writeOutcome{err: storage.ErrRefused},                    // each job by itself
+			writeOutcome{err: storage.ErrRefused},
+		)
 		Expect(codes).NotTo(ContainElement(result.StoreUnavailable))
 		Expect(codes).To(ContainElement(result.OutcomeUnknown))
 	})
 })
 
+// submitGroup submits a job and then, while it is being written, two more, which are
+// written together. It returns the answers' codes. script are the outcomes of the
+// writes after the first one.
+func submitGroup(script ...writeOutcome) []result.Code {
+	t := &scriptedTable{proceed: make(chan struct{}), script: append([]writeOutcome{{applied: true}}, script...)}
+	f := startFront(t)
+	answers := make(chan front.Answer, 3)
+	group := duty.NewGroup(context.Background())
+	submitAsync := func(id string) {
+		group.Serve(func(context.Context) error {
+			answers <- submit(f, id, "key")
+			return nil
+		})
+	}
+	submitAsync("first")
+	time.Sleep(100 * time.Millisecond)
+	submitAsync("a")
+	submitAsync("b")
+	time.Sleep(100 * time.Millisecond)
+	close(t.proceed)
+	Expect(group.Wait()).To(Succeed())
+	return []result.Code{(<-answers).Code, (<-answers).Code, (<-answers).Code}
+}
+
 // stalledTable is a table whose reads end without a reply at their timeout.
 type stalledTable struct{ storage.FeedTable }
 
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -151,10 +151,10 @@
 	}
 	err := w.write(accepted, false)
 	if len(batch) > 1 && (eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict)) {
-		// An attempt without a reply may have accepted all of them.
-		ambiguous := eris.Is(err, errAmbiguousConflict)
+		// An attempt without a reply may have accepted all of them. It may have been
+		// one of the table's own, which a relayed table does not report.
 		for _, s := range batch {
-			s.reply <- w.answer(s.job, w.write([]*jobs.Job{s.job}, ambiguous))
+			s.reply <- w.answer(s.job, w.write([]*jobs.Job{s.job}, true))
 		}
 		return
 	}
