Close peers' connections that are accepted while a server stops

Cause: a connection that Accept returned just before the listener was closed was registered after the open ones had been closed. It was served until its peer closed it, and Run, which waits for it, did not return: the instance ended by SIGKILL.

Change: a connection that is accepted after that is closed at once.

Test: timed out before (5 s), passes with the change, also with -race.

--- a/peerrpc/peerrpc_test.go
+++ b/peerrpc/peerrpc_test.go
@@ -163,3 +163,43 @@
 		Expect(client.Call(ctx, restarted.address, "Echo.Say", "three", &reply)).To(Succeed())
 	}, SpecTimeout(specTimeout))
 })
+
+// lateListener is a listener whose Accept returns a connection only after Close.
+type lateListener struct {
+	net.Listener
+	connection net.Conn
+	closed     chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	if l.connection == nil {
+		return nil, net.ErrClosed
+	}
+	connection := l.connection
+	l.connection = nil
+	// The connections that are open are closed meanwhile.
+	time.Sleep(50 * time.Millisecond)
+	return connection, nil
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+var _ = Describe("Server", func() {
+	// Such a connection was served until its peer closed it, and the process with it.
+	It("closes a connection that was accepted while Serve ends", func() {
+		ours, theirs := net.Pipe()
+		DeferCleanup(func() { _ = theirs.Close() })
+		ctx, cancel := context.WithCancel(context.Background())
+		group := duty.NewGroup(context.Background())
+		listener := &lateListener{connection: ours, closed: make(chan struct{})}
+		group.Serve(func(context.Context) error { return peerrpc.NewServer().Serve(ctx, listener, group.Serve) })
+		cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- group.Wait() }()
+		Eventually(ended).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
+})
--- a/peerrpc/server.go
+++ b/peerrpc/server.go
@@ -12,10 +12,11 @@
 // Server serves the registered net/rpc services to peers.
 type Server struct {
 	registry *rpc.Server
-	// mu guards open: its connections are closed when Serve's context ends, while
-	// Serve may still accept further ones.
-	mu   sync.Mutex
-	open map[net.Conn]bool
+	// mu guards open and closed: the connections are closed when Serve's context ends,
+	// while Serve may still accept further ones.
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
 }
 
 // NewServer returns a server without services.
@@ -56,9 +57,14 @@
 	return eris.Wrap(err, "accept connection from peer")
 }
 
+// track registers the connection, or closes it once closeAll was called.
 func (s *Server) track(connection net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		_ = connection.Close()
+		return
+	}
 	s.open[connection] = true
 }
 
@@ -72,6 +78,7 @@
 	_ = listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for connection := range s.open {
 		_ = connection.Close()
 	}
