--- a/front/front_test.go
+++ b/front/front_test.go
@@ -141,32 +141,84 @@
 		Expect(submit(startFront(ambiguous), "a", "key").Code).To(Equal(result.OutcomeUnknown))
 	})
 
+	// A relayed table repeats a write without a reply; the repetition conflicts with it.
+	It("has an unknown outcome when its group conflicts and may have been written", func() {
+		codes := submitGroup(
+			writeOutcome{applied: true, err: storage.ErrConflict}, // the group, repeated by the table
+			writeOutcome{err: storage.ErrRefused},                 // each job by itself
+			writeOutcome{err: storage.ErrRefused},
+		)
+		Expect(codes).NotTo(ContainElement(result.StoreUnavailable))
+		Expect(codes).To(ContainElement(result.OutcomeUnknown))
+	})
+
 	It("has an unknown outcome when its group was written but the reply was lost", func() {
-		t := &scriptedTable{proceed: make(chan struct{}), script: []writeOutcome{
-			{applied: true}, // the first job by itself
-			{applied: true, err: storage.ErrUnavailable}, // the group; the reply is lost
-			{err: storage.ErrConflict},                   // the retry of the group
-			{err: storage.ErrRefused},                    // each job by itself
-			{err: storage.ErrRefused},
-		}}
-		f := startFront(t)
-		answers := make(chan front.Answer, 3)
+		codes := submitGroup(
+			writeOutcome{applied: true, err: storage.ErrUnavailable}, // the group; the reply is lost
+			writeOutcome{err: storage.ErrConflict},                   // the retry of the group
+			writeOutcome{err: storage.ErrRefused},                    // each job by itself
+			writeOutcome{err: storage.ErrRefused},
+		)
+		Expect(codes).NotTo(ContainElement(result.StoreUnavailable))
+		Expect(codes).To(ContainElement(result.OutcomeUnknown))
+	})
+})
+
+// submitGroup submits a job and then, while it is being written, two more, which are
+// written together. It returns the answers' codes. script are the outcomes of the
+// writes after the first one.
+func submitGroup(script ...writeOutcome) []result.Code {
+	t := &scriptedTable{proceed: make(chan struct{}), script: append([]writeOutcome{{applied: true}}, script...)}
+	f := startFront(t)
+	answers := make(chan front.Answer, 3)
+	group := duty.NewGroup(context.Background())
+	submitAsync := func(id string) {
+		group.Serve(func(context.Context) error {
+			answers <- submit(f, id, "key")
+			return nil
+		})
+	}
+	submitAsync("first")
+	time.Sleep(100 * time.Millisecond)
+	submitAsync("a")
+	submitAsync("b")
+	time.Sleep(100 * time.Millisecond)
+	close(t.proceed)
+	Expect(group.Wait()).To(Succeed())
+	return []result.Code{(<-answers).Code, (<-answers).Code, (<-answers).Code}
+}
+
+// stalledTable is a table whose reads end without a reply at their timeout.
+type stalledTable struct{ storage.FeedTable }
+
+func (stalledTable) Get(ctx context.Context, _ string) (storage.Row, error) {
+	<-ctx.Done()
+	return storage.Row{}, storage.ErrUnavailable
+}
+
+var _ = Describe("A request for the number of waiting jobs", func() {
+	// Each caller read the table after the one before it, so that the last of many
+	// waited far beyond its deadline, and beyond the drain of its instance.
+	It("is answered by its deadline while the table does not answer", func() {
+		v := view.New(fakeDecoder{}, noListener{}, clock.Boot{}, logging.Discard())
+		v.Update(feed.Update{Full: true, Changes: []storage.Change{{}}, RequestedAt: clock.Boot{}.Now()})
+		f := front.New(context.Background(), front.Options{Parts: 1, View: v, Table: stalledTable{}, Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
+		const callers = 4
 		group := duty.NewGroup(context.Background())
-		submitAsync := func(id string) {
+		began := time.Now()
+		var mu sync.Mutex
+		var slowest time.Duration
+		for range callers {
 			group.Serve(func(context.Context) error {
-				answers <- submit(f, id, "key")
+				answer := f.State(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/"})
+				mu.Lock()
+				defer mu.Unlock()
+				slowest = max(slowest, time.Since(began))
+				Expect(answer.Code).To(Equal(result.StoreUnavailable))
 				return nil
 			})
 		}
-		submitAsync("first")
-		time.Sleep(100 * time.Millisecond)
-		submitAsync("a")
-		submitAsync("b")
-		time.Sleep(100 * time.Millisecond)
-		close(t.proceed)
 		Expect(group.Wait()).To(Succeed())
-		codes := []result.Code{(<-answers).Code, (<-answers).Code, (<-answers).Code}
-		Expect(codes).NotTo(ContainElement(result.StoreUnavailable))
-		Expect(codes).To(ContainElement(result.OutcomeUnknown))
+		Expect(slowest).To(BeNumerically("<", 2500*time.Millisecond), "the queue's timeout is 2 s")
 	})
 })
