Open no occurrence before it is due when an endpoint lists a run of it

Cause: the planner opened every occurrence up to the one that an endpoint named, so that a listed task a.999.0.0 of a scheduled job opened, recorded and started 1,000 occurrences before they were due, and took an end of it as the success of a task that had never been started.

Change: a task that an endpoint names is looked up among the occurrences that are due and those that the recorded progress has opened. Each run is recorded before its start is sent, so that no run of another occurrence can exist. Such a run is unknown and is stopped.

--- a/planner/job.go
+++ b/planner/job.go
@@ -205,15 +205,19 @@
 // openOccurrences opens the occurrences that are due.
 func (p *Planner) openOccurrences() {
 	for j := range p.scheduled {
-		for j.openedOccurrences < j.OccurrenceCount() && j.dueAt(j.openedOccurrences) <= p.wallMillis {
-			j.openOccurrence()
-		}
+		j.openDueOccurrences()
 		if j.openedOccurrences == j.OccurrenceCount() {
 			delete(p.scheduled, j)
 		}
 	}
 }
 
+func (j *job) openDueOccurrences() {
+	for j.openedOccurrences < j.OccurrenceCount() && j.dueAt(j.openedOccurrences) <= j.p.wallMillis {
+		j.openOccurrence()
+	}
+}
+
 // dueAt returns when an occurrence may start, in Unix milliseconds.
 func (j *job) dueAt(occurrence int) int64 {
 	if j.Occurrences == 0 {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -99,6 +99,23 @@
 		Expect(second.Starts).To(HaveLen(1))
 		Expect(second.Starts[0].Run.Task.Occurrence).To(Equal(1))
 	})
+
+	// An endpoint that listed a.999.0.0 made the holder open and start 1,000 occurrences.
+	It("opens no occurrence before it is due when an endpoint lists a run of it", func() {
+		f := newFixture(1, 1)
+		job := &jobs.Job{
+			ID: "a", Team: "red", Queue: batch, Accepted: f.now.UnixMilli(), Steps: []jobs.Step{single},
+			Occurrences: 1000, First: f.now.Add(time.Second).UnixMilli(), Interval: time.Hour,
+		}
+		f.AddJob(job, nil)
+		odd := jobs.RunID{Task: jobs.TaskID{StepID: jobs.StepID{Job: "a", Occurrence: 999}}, Number: 1}
+		Expect(f.list("e00", running(odd, 0))).To(Equal([]jobs.RunID{odd}), "the run is unknown")
+		f.list("e00", ended(odd, fleet.Succeeded))
+		Expect(f.progress("a").Steps).To(BeEmpty())
+		Expect(f.plan().Starts).To(BeEmpty())
+		f.tick(time.Second)
+		Expect(f.plan().Starts).To(HaveLen(1))
+	})
 })
 
 var _ = Describe("A job that has begun", func() {
--- a/planner/run.go
+++ b/planner/run.go
@@ -268,14 +268,15 @@
 	return r
 }
 
+// task returns a task that an endpoint has named; nil if the planner does not hold its
+// job or its occurrence is not due. Occurrences that a former holder has started were
+// opened when its progress was restored.
 func (p *Planner) task(id jobs.TaskID) *task {
 	j := p.jobs[id.Job]
 	if j == nil {
 		return nil
 	}
-	for j.openedOccurrences <= id.Occurrence && j.openedOccurrences < j.OccurrenceCount() {
-		j.openOccurrence()
-	}
+	j.openDueOccurrences()
 	s := j.step(id.Occurrence, id.Step)
 	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
 		return nil
