Reject jobs whose number of tasks overflows or is too large in all occurrences

Cause: the sum of the steps' counts could overflow, so that a step of the largest int was accepted after another one. Occurrences were not bounded at all: with an interval of 0, or a first time long ago, all of them are due at once. The holder opens a step for each in memory, and so does each successor, since the job is accepted.

Change: each count is compared with what is left of maxTasks, which now bounds the tasks of all occurrences.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -131,6 +132,23 @@
 		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, &jobs.Job{}).Code).To(Equal(result.Malformed))
 	})
 
+	// A count that overflows the sum of tasks, and occurrences that are all due at once,
+	// exhausted the memory of the holder and of each successor.
+	DescribeTable("is refused with amounts out of range", func(job jobs.Job) {
+		f := startFront(&scriptedTable{})
+		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, &job).Code).To(Equal(result.Malformed))
+	},
+		Entry("a number of tasks whose sum overflows", jobs.Job{Steps: []jobs.Step{{Count: 1}, {Count: math.MaxInt}}}),
+		Entry("too many tasks in all occurrences", jobs.Job{Steps: []jobs.Step{{Count: 2}}, Occurrences: 60000}),
+		Entry("a number of tasks in all occurrences that overflows", jobs.Job{Steps: []jobs.Step{{Count: 4}}, Occurrences: 1 << 62}),
+	)
+
+	It("is accepted with the largest number of tasks in all occurrences", func() {
+		f := startFront(&scriptedTable{})
+		job := &jobs.Job{Steps: []jobs.Step{{Count: 2, Size: model.Resources{model.CPU: 1 << 40}}}, Occurrences: 50000}
+		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, job).Code).To(Equal(result.OK))
+	})
+
 	It("is reported as not accepted only when no write of it can have taken effect", func() {
 		refused := &scriptedTable{script: []writeOutcome{{err: storage.ErrRefused}}}
 		answer := submit(startFront(refused), "a", "key")
--- a/front/submit.go
+++ b/front/submit.go
@@ -12,7 +12,7 @@
 const (
 	// maxSpec bounds the size of a specification in bytes.
 	maxSpec = 4000
-	// maxTasks bounds the tasks of a job.
+	// maxTasks bounds the tasks of a job, those of all occurrences together.
 	maxTasks = 100000
 )
 
@@ -81,15 +81,18 @@
 	tasks := 0
 	for i := range job.Steps {
 		step := &job.Steps[i]
-		tasks += step.Count
-		if step.Count < 1 || tasks > maxTasks {
+		if step.Count < 1 || step.Count > maxTasks-tasks {
 			return "the number of tasks is not valid"
 		}
+		tasks += step.Count
 		for _, dependency := range step.After {
 			if dependency < 0 || dependency >= i {
 				return "a step waits for one that is not before it"
 			}
 		}
 	}
+	if job.OccurrenceCount() > maxTasks/tasks {
+		return "the number of tasks of all occurrences is not valid"
+	}
 	return ""
 }
