Reject jobs with negative or very large task sizes

Cause: the size of a submitted task was not checked. A negative amount fits everywhere and reduces the capacity in use, so that the holder starts more on a full endpoint than it has; amounts near the largest int64 overflow where a gang's are multiplied.

Change: each amount has to be from 0 to 2^40, as in a registry entry.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -133,11 +133,15 @@
 	})
 
 	// A count that overflows the sum of tasks, and occurrences that are all due at once,
-	// exhausted the memory of the holder and of each successor.
+	// exhausted the memory of the holder and of each successor. A negative size made
+	// room on a full endpoint.
 	DescribeTable("is refused with amounts out of range", func(job jobs.Job) {
 		f := startFront(&scriptedTable{})
 		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, &job).Code).To(Equal(result.Malformed))
 	},
+		Entry("negative processors", jobs.Job{Steps: []jobs.Step{{Count: 1, Size: model.Resources{model.CPU: -1}}}}),
+		Entry("negative memory", jobs.Job{Steps: []jobs.Step{{Count: 1, Size: model.Resources{model.Memory: math.MinInt64}}}}),
+		Entry("processors whose sum overflows", jobs.Job{Steps: []jobs.Step{{Count: 4, Gang: true, Size: model.Resources{model.CPU: 1 << 62}}}}),
 		Entry("a number of tasks whose sum overflows", jobs.Job{Steps: []jobs.Step{{Count: 1}, {Count: math.MaxInt}}}),
 		Entry("too many tasks in all occurrences", jobs.Job{Steps: []jobs.Step{{Count: 2}}, Occurrences: 60000}),
 		Entry("a number of tasks in all occurrences that overflows", jobs.Job{Steps: []jobs.Step{{Count: 4}}, Occurrences: 1 << 62}),
--- a/front/submit.go
+++ b/front/submit.go
@@ -14,6 +14,9 @@
 	maxSpec = 4000
 	// maxTasks bounds the tasks of a job, those of all occurrences together.
 	maxTasks = 100000
+	// maxAmount bounds the amount of one resource that a task takes, in the
+	// resource's unit, so that the sums of a job's tasks don't overflow.
+	maxAmount = 1 << 40
 )
 
 // submission is a message to a submission writer: a job to write, or one to cancel.
@@ -85,10 +88,8 @@
 			return "the number of tasks is not valid"
 		}
 		tasks += step.Count
-		for _, dependency := range step.After {
-			if dependency < 0 || dependency >= i {
-				return "a step waits for one that is not before it"
-			}
+		if problem := validateStep(i, step); problem != "" {
+			return problem
 		}
 	}
 	if job.OccurrenceCount() > maxTasks/tasks {
@@ -96,3 +97,18 @@
 	}
 	return ""
 }
+
+// validateStep is validate for the step of the index, except for its count.
+func validateStep(index int, step *jobs.Step) string {
+	for _, amount := range step.Size {
+		if amount < 0 || amount > maxAmount {
+			return "the size of a task is not valid"
+		}
+	}
+	for _, dependency := range step.After {
+		if dependency < 0 || dependency >= index {
+			return "a step waits for one that is not before it"
+		}
+	}
+	return ""
+}
