Reject job IDs with characters that keys or names of tasks can't contain

Cause: any text of up to 64 bytes was accepted as an ID. The job's ID is read back as the text after the last slash of its key, so that a job with a slash was accepted and never run. A task's name is split at points, so that an endpoint that ran a job with a point in its ID could not be read: no run on it counted as absent any more.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -147,6 +147,14 @@
 		Entry("a number of tasks in all occurrences that overflows", jobs.Job{Steps: []jobs.Step{{Count: 4}}, Occurrences: 1 << 62}),
 	)
 
+	// A job with a slash in its ID was accepted but no holder could read its row; a point
+	// made the names of its tasks unreadable in the listings of its endpoints.
+	DescribeTable("is refused with an ID that keys and names of tasks can't contain", func(id string) {
+		Expect(submit(startFront(&scriptedTable{}), id, "key").Code).To(Equal(result.Malformed))
+	},
+		Entry("a slash", "a/b"), Entry("a point", "a.0"), Entry("a space", "a b"), Entry("a control character", "a\nb"), Entry("a letter beyond ASCII", "\u00e4"),
+	)
+
 	It("is accepted with the largest number of tasks in all occurrences", func() {
 		f := startFront(&scriptedTable{})
 		job := &jobs.Job{Steps: []jobs.Step{{Count: 2, Size: model.Resources{model.CPU: 1 << 40}}}, Occurrences: 50000}
--- a/front/submit.go
+++ b/front/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,8 @@
 	switch {
 	case id == "" || len(id) > 64:
 		return "the job's id is missing or too long"
+	case strings.ContainsFunc(string(id), notInID):
+		return "the job's id contains a character that is not allowed"
 	case len(job.Spec) > maxSpec:
 		return "the specification is too long"
 	case len(job.Steps) == 0:
@@ -98,6 +101,10 @@
 	return ""
 }
 
+// notInID reports whether a job's ID must not contain the character: keys of rows are
+// split at slashes, and names of tasks at points.
+func notInID(r rune) bool { return r <= ' ' || r > '~' || r == '/' || r == '.' }
+
 // validateStep is validate for the step of the index, except for its count.
 func validateStep(index int, step *jobs.Step) string {
 	for _, amount := range step.Size {
