Do not take a taken-over run for the sole cause of its endpoint's crash

Cause: the start time of a run that a former holder started is not known; the time of the take-over stood for it. An endpoint that did not respond then seemed to have stopped within 200 ms after the start, so that a task with one earlier crash lost its job after the second one, however long its run had lasted.

Change: with a run among the suspects that was taken over, three crashes are needed.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -115,7 +115,7 @@
 // there are any started soon before the endpoint stopped responding.
 type crashSuspects struct {
 	// recent is set if only recent runs are suspected. sole is the step of all of
-	// them, nil if there are several.
+	// them, nil if there are several or if it is not known when one was started.
 	recent bool
 	sole   *step
 }
@@ -127,8 +127,8 @@
 		if !r.maySuspect(r.state == runEnding) || !r.startedBeforeSilence() {
 			continue
 		}
-		if e.suspects.recent && e.suspects.sole != r.task.step {
-			e.suspects.sole = nil
+		if r.takenOver || e.suspects.recent && e.suspects.sole != r.task.step {
+			e.suspects = crashSuspects{recent: true}
 			return
 		}
 		e.suspects = crashSuspects{recent: true, sole: r.task.step}
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -298,6 +298,25 @@
 		Expect(plan.Outcomes[0].State).To(Equal(jobs.Failed))
 	})
 
+	// An endpoint that did not respond at a take-over seemed to have stopped just after the
+	// start of each inherited run.
+	It("does not fail a job after two crashes if a former holder has started the second run", func() {
+		c := newCrashingCell(2)
+		job := c.submit("a", batch, single)
+		c.start(c.plan())
+		c.crash("e00")
+		start := c.plan().Starts[0]
+		c.StartConfirmed(start.Run)
+
+		f := successor(c, job)
+		f.EndpointUnresponsive(start.Endpoint)
+		f.tick(time.Second)
+		f.EndpointLapsed(start.Endpoint)
+		Expect(f.plan().Outcomes).To(BeEmpty())
+		Expect(f.progress("a").Steps[0].Crashes[0]).To(HaveLen(2))
+		Expect(f.progress("a").Steps[0].Crashes[0][1].Sole).To(BeFalse())
+	})
+
 	It("counts an inherited run if its endpoint has restarted since", func() {
 		c := newCrashingCell(1)
 		job := c.submit("a", batch, single)
--- a/planner/run.go
+++ b/planner/run.go
@@ -46,6 +46,9 @@
 	// its start.
 	sentAt   time.Time
 	survived bool
+	// takenOver is set if a former holder started the run, so that it is not known
+	// when.
+	takenOver bool
 }
 
 type runEvent = chart.Event
@@ -262,6 +265,7 @@
 		return nil
 	}
 	r := p.newRun(t, e, id.Number)
+	r.takenOver = true
 	if t.step.Gang {
 		t.step.gangRuns = max(t.step.gangRuns, id.Number)
 	}
@@ -353,6 +357,7 @@
 		return
 	}
 	r := p.newRun(t, e, record.Number)
+	r.takenOver = true
 	r.fire(evInherit)
 	r.born = record.Born
 	if t.step.Gang {
