Start nothing beside a suspect whose job the next crash fails

Cause: only suspects were kept apart. A task that had not been counted yet joined an innocent suspect on its endpoint and crashed it, so that the suspect's third crash failed its job.

Change: while a run of a task with two counted crashes has not survived its start, no task of another step is started on its endpoint. The step of a task that finds no endpoint for that reason is not tried further, as for lack of capacity.

Result: the new test failed before (4 starts instead of 1).

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -143,6 +143,7 @@
 		return
 	}
 	r.survived = true
+	delete(r.endpoint.lastRuns, r)
 	if !r.task.suspect() {
 		return
 	}
@@ -219,6 +220,9 @@
 	return n >= crashLimit || n >= soleCrashLimit && crashes[n-1].Sole
 }
 
+// nextCrashFails reports whether the next crash reaches crashLimit.
+func (t *task) nextCrashFails() bool { return len(t.failureOwner().crashes) == crashLimit-1 }
+
 func (t *task) failCrashingJob() {
 	var endpoints []string
 	for _, c := range t.failureOwner().crashes {
@@ -227,19 +231,18 @@
 	t.step.job.finish(jobs.Failed, "task "+t.id.String()+" crashed its endpoints "+strings.Join(endpoints, ", "))
 }
 
-// separate returns the candidates on which the task is not started beside the
-// suspect of another step: if the endpoint crashed, both would count it.
+// separate returns the candidates on which the task may be started beside the runs
+// that have not survived their starts. If the endpoint crashed, each suspect among them
+// would count it: two suspects of different steps are kept apart, and no other step's
+// task is started beside a run whose job the next crash fails.
 func (t *task) separate(candidates []*endpoint) []*endpoint {
-	if !t.suspect() {
-		return candidates
+	excluded := func(e *endpoint) bool {
+		return e.hasLastRunBeside(t.step) || t.suspect() && e.startsSuspectBeside(t.step)
 	}
-	list := make([]*endpoint, 0, len(candidates))
-	for _, e := range candidates {
-		if !e.startsSuspectBeside(t.step) {
-			list = append(list, e)
-		}
+	if !slices.ContainsFunc(candidates, excluded) {
+		return candidates
 	}
-	return list
+	return slices.DeleteFunc(slices.Clone(candidates), excluded)
 }
 
 // startsSuspectBeside reports whether the endpoint has a run of another step's
@@ -252,3 +255,13 @@
 	}
 	return false
 }
+
+// hasLastRunBeside reports whether the endpoint has one of lastRuns of another step.
+func (e *endpoint) hasLastRunBeside(s *step) bool {
+	for r := range e.lastRuns {
+		if r.task.step != s {
+			return true
+		}
+	}
+	return false
+}
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -197,6 +197,30 @@
 		Expect(third.Starts[0].Run.Task).To(Equal(other.Run.Task))
 	})
 
+	// Tasks without a count joined a suspect on its endpoint, and one of them crashed it
+	// for the third time.
+	It("is started beside no start of another step if one more crash fails its job", func() {
+		c := newCrashingCell(1)
+		c.submit("a", batch, single)
+		for range 2 {
+			plan := c.plan()
+			c.start(plan)
+			c.crash(plan.Starts[0].Endpoint)
+		}
+		c.tick(time.Millisecond)
+		c.submit("b", batch, single)
+		c.submit("g", batch, jobs.Step{Count: 2, Size: size(1000, 100), Estimate: time.Second, Gang: true})
+		plan := c.plan()
+		Expect(plan.Starts).To(HaveLen(1))
+		Expect(plan.Starts[0].Run.Task.Job).To(Equal(jobs.ID("a")))
+		c.start(plan)
+		Expect(c.plan().Starts).To(BeEmpty())
+
+		c.tick(300 * time.Millisecond)
+		c.list(plan.Starts[0].Endpoint, running(plan.Starts[0].Run, 10))
+		Expect(c.plan().Starts).To(HaveLen(3))
+	})
+
 	It("is started next on the endpoint where least is lost", func() {
 		c := newCrashingCell(1)
 		c.submit("a", batch, single)
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -57,6 +57,9 @@
 	silentAt time.Time
 	// suspects are those of the latest loss of the endpoint.
 	suspects crashSuspects
+	// lastRuns are the runs that have not survived their starts and whose jobs fail if
+	// they are counted as crashing the endpoint.
+	lastRuns map[*run]bool
 }
 
 var endpointsChart *chart.Machine[endpoint]
@@ -94,7 +97,7 @@
 }
 
 func (p *Planner) addEndpoint(entry fleet.Endpoint) *endpoint {
-	e := &endpoint{runs: map[*run]bool{}}
+	e := &endpoint{runs: map[*run]bool{}, lastRuns: map[*run]bool{}}
 	e.setEntry(entry)
 	endpointsChart.Start(&e.state, e)
 	p.endpoints[entry.ID] = e
@@ -192,6 +195,9 @@
 
 func (e *endpoint) addRun(r *run) {
 	e.runs[r] = true
+	if r.task.nextCrashFails() {
+		e.lastRuns[r] = true
+	}
 	e.committed = e.committed.Add(r.size)
 	e.updateFree()
 }
@@ -217,6 +223,7 @@
 
 func (e *endpoint) removeRun(r *run) {
 	delete(e.runs, r)
+	delete(e.lastRuns, r)
 	e.used = e.used.Sub(r.size)
 	e.committed = e.committed.Sub(r.size)
 	e.updateFree()
--- a/planner/place.go
+++ b/planner/place.go
@@ -120,7 +120,7 @@
 		if e == nil && p.mayPreempt(s) {
 			e = p.preemptForTask(s, separate)
 		}
-		if e == nil && len(separate) == len(usable) {
+		if e == nil && (!t.suspect() || len(separate) == len(usable)) {
 			return false
 		}
 		if e == nil {
