--- a/front/front_test.go
+++ b/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -131,6 +132,35 @@
 		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, &jobs.Job{}).Code).To(Equal(result.Malformed))
 	})
 
+	// A count that overflows the sum of tasks, and occurrences that are all due at once,
+	// exhausted the memory of the holder and of each successor. A negative size made
+	// room on a full endpoint.
+	DescribeTable("is refused with amounts out of range", func(job jobs.Job) {
+		f := startFront(&scriptedTable{})
+		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, &job).Code).To(Equal(result.Malformed))
+	},
+		Entry("negative processors", jobs.Job{Steps: []jobs.Step{{Count: 1, Size: model.Resources{model.CPU: -1}}}}),
+		Entry("negative memory", jobs.Job{Steps: []jobs.Step{{Count: 1, Size: model.Resources{model.Memory: math.MinInt64}}}}),
+		Entry("processors whose sum overflows", jobs.Job{Steps: []jobs.Step{{Count: 4, Gang: true, Size: model.Resources{model.CPU: 1 << 62}}}}),
+		Entry("a number of tasks whose sum overflows", jobs.Job{Steps: []jobs.Step{{Count: 1}, {Count: math.MaxInt}}}),
+		Entry("too many tasks in all occurrences", jobs.Job{Steps: []jobs.Step{{Count: 2}}, Occurrences: 60000}),
+		Entry("a number of tasks in all occurrences that overflows", jobs.Job{Steps: []jobs.Step{{Count: 4}}, Occurrences: 1 << 62}),
+	)
+
+	// A job with a slash in its ID was accepted but no holder could read its row; a point
+	// made the names of its tasks unreadable in the listings of its endpoints.
+	DescribeTable("is refused with an ID that keys and names of tasks can't contain", func(id string) {
+		Expect(submit(startFront(&scriptedTable{}), id, "key").Code).To(Equal(result.Malformed))
+	},
+		Entry("a slash", "a/b"), Entry("a point", "a.0"), Entry("a space", "a b"), Entry("a control character", "a\nb"), Entry("a letter beyond ASCII", "\u00e4"),
+	)
+
+	It("is accepted with the largest number of tasks in all occurrences", func() {
+		f := startFront(&scriptedTable{})
+		job := &jobs.Job{Steps: []jobs.Step{{Count: 2, Size: model.Resources{model.CPU: 1 << 40}}}, Occurrences: 50000}
+		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, job).Code).To(Equal(result.OK))
+	})
+
 	It("is reported as not accepted only when no write of it can have taken effect", func() {
 		refused := &scriptedTable{script: []writeOutcome{{err: storage.ErrRefused}}}
 		answer := submit(startFront(refused), "a", "key")
--- a/front/submit.go
+++ b/front/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,8 +13,11 @@
 const (
 	// maxSpec bounds the size of a specification in bytes.
 	maxSpec = 4000
-	// maxTasks bounds the tasks of a job.
+	// maxTasks bounds the tasks of a job, those of all occurrences together.
 	maxTasks = 100000
+	// maxAmount bounds the amount of one resource that a task takes, in the
+	// resource's unit, so that the sums of a job's tasks don't overflow.
+	maxAmount = 1 << 40
 )
 
 // submission is a message to a submission writer: a job to write, or one to cancel.
@@ -71,6 +75,8 @@
 	switch {
 	case id == "" || len(id) > 64:
 		return "the job's id is missing or too long"
+	case strings.ContainsFunc(string(id), notInID):
+		return "the job's id contains a character that is not allowed"
 	case len(job.Spec) > maxSpec:
 		return "the specification is too long"
 	case len(job.Steps) == 0:
@@ -81,14 +87,34 @@
 	tasks := 0
 	for i := range job.Steps {
 		step := &job.Steps[i]
-		tasks += step.Count
-		if step.Count < 1 || tasks > maxTasks {
+		if step.Count < 1 || step.Count > maxTasks-tasks {
 			return "the number of tasks is not valid"
 		}
-		for _, dependency := range step.After {
-			if dependency < 0 || dependency >= i {
-				return "a step waits for one that is not before it"
-			}
+		tasks += step.Count
+		if problem := validateStep(i, step); problem != "" {
+			return problem
+		}
+	}
+	if job.OccurrenceCount() > maxTasks/tasks {
+		return "the number of tasks of all occurrences is not valid"
+	}
+	return ""
+}
+
+// notInID reports whether a job's ID must not contain the character: keys of rows are
+// split at slashes, and names of tasks at points.
+func notInID(r rune) bool { return r <= ' ' || r > '~' || r == '/' || r == '.' }
+
+// validateStep is validate for the step of the index, except for its count.
+func validateStep(index int, step *jobs.Step) string {
+	for _, amount := range step.Size {
+		if amount < 0 || amount > maxAmount {
+			return "the size of a task is not valid"
+		}
+	}
+	for _, dependency := range step.After {
+		if dependency < 0 || dependency >= index {
+			return "a step waits for one that is not before it"
 		}
 	}
 	return ""
--- a/planner/run.go
+++ b/planner/run.go
@@ -46,6 +46,9 @@
 	// its start.
 	sentAt   time.Time
 	survived bool
+	// takenOver is set if a former holder started the run, so that it is not known
+	// when.
+	takenOver bool
 }
 
 type runEvent = chart.Event
@@ -262,20 +265,22 @@
 		return nil
 	}
 	r := p.newRun(t, e, id.Number)
+	r.takenOver = true
 	if t.step.Gang {
 		t.step.gangRuns = max(t.step.gangRuns, id.Number)
 	}
 	return r
 }
 
+// task returns a task that an endpoint has named; nil if the planner does not hold its
+// job or its occurrence is not due. Occurrences that a former holder has started were
+// opened when its progress was restored.
 func (p *Planner) task(id jobs.TaskID) *task {
 	j := p.jobs[id.Job]
 	if j == nil {
 		return nil
 	}
-	for j.openedOccurrences <= id.Occurrence && j.openedOccurrences < j.OccurrenceCount() {
-		j.openOccurrence()
-	}
+	j.openDueOccurrences()
 	s := j.step(id.Occurrence, id.Step)
 	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
 		return nil
@@ -352,6 +357,7 @@
 		return
 	}
 	r := p.newRun(t, e, record.Number)
+	r.takenOver = true
 	r.fire(evInherit)
 	r.born = record.Born
 	if t.step.Gang {
