Keep a recorded outcome when the tasks of a closing job have succeeded

Cause: a successor restored the steps of a job before its recorded outcome. If all of them had succeeded while the runs of a cancelled job were being stopped (a gang of which one member has listed its end), the job was completed first, and its status changed from cancelled to completed after it had been reported.

Change: a recorded outcome stands, whatever completes during the restore.

--- a/planner/job.go
+++ b/planner/job.go
@@ -22,6 +22,8 @@
 	started  bool
 	outcome  jobs.State
 	reason   string
+	// recordedOutcome is the outcome that a former holder has recorded; empty for none.
+	recordedOutcome jobs.State
 	// steps are the steps of all opened occurrences, in order; remainingSteps
 	// counts the steps of all occurrences that are not complete.
 	steps             []*step
@@ -116,10 +118,15 @@
 // HasJob reports whether the planner holds the job.
 func (p *Planner) HasJob(id jobs.ID) bool { return p.jobs[id] != nil }
 
+// finish decides the job's final state. An outcome that a former holder has recorded
+// is kept.
 func (j *job) finish(state jobs.State, reason string) {
 	if j.outcome != "" {
 		return
 	}
+	if j.recordedOutcome != "" {
+		state, reason = j.recordedOutcome, "recorded by the former holder"
+	}
 	j.outcome, j.reason = state, reason
 	jobsChart.Fire(&j.state, evJobFinish, j)
 }
@@ -277,7 +284,7 @@
 
 // restore applies the recorded progress.
 func (j *job) restore(progress *jobs.Progress) {
-	j.started = progress.Started
+	j.started, j.recordedOutcome = progress.Started, progress.Outcome
 	for _, row := range progress.Steps {
 		for j.openedOccurrences <= row.Occurrence && j.openedOccurrences < j.OccurrenceCount() {
 			j.openOccurrence()
@@ -287,7 +294,7 @@
 		}
 	}
 	if progress.Outcome != "" {
-		j.finish(progress.Outcome, "recorded by the former holder")
+		j.finish(progress.Outcome, "")
 	}
 }
 
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -35,6 +35,23 @@
 		Expect(f.plan().Outcomes[0].State).To(Equal(jobs.Completed))
 	})
 
+	// A gang that ended by success while its cancelled job was closing was reported as
+	// completed by the successor.
+	It("keeps the recorded outcome of a job whose tasks have succeeded since", func() {
+		previous := newFixture(1, 2)
+		job := previous.submit("a", gangs, jobs.Step{Count: 2, Size: size(9000, 100), Estimate: time.Second, Gang: true})
+		plan := previous.plan()
+		previous.start(plan)
+		previous.CancelJob("a")
+		previous.list(plan.Starts[0].Endpoint, ended(plan.Starts[0].Run, fleet.Succeeded))
+		Expect(previous.progress("a").Outcome).To(Equal(jobs.Cancelled))
+		Expect(previous.progress("a").Steps[0].Complete).To(BeTrue())
+
+		f := newFixture(2, 0)
+		f.AddJob(job, previous.progress("a"))
+		Expect(f.plan().Outcomes).To(ConsistOf(HaveField("State", jobs.Cancelled)))
+	})
+
 	It("applies the ends of an endpoint whose registry entry it has not read yet", func() {
 		previous := newFixture(1, 1)
 		job := previous.submit("a", batch, single)
