Count a crash though a late listing shows the run

Cause: a run counted as having survived its start when a listing of it arrived 200 ms after the start.

Change: the listing has to be requested 200 ms after the start.

Measured: the new test failed before (no crash was recorded) and passes now, with the other tests of planner.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -16,9 +16,9 @@
 	// one.
 	crashLimit     = 3
 	soleCrashLimit = 2
-	// survivalTime is how long after its start a run has to be listed to show that
-	// it does not crash its endpoint. A listing may have been sent between the
-	// start and the crash.
+	// survivalTime is how long after its start a listing of the run has to be
+	// requested to show that it does not crash its endpoint. A listing may be sent
+	// between the start and the crash.
 	survivalTime = 200 * time.Millisecond
 )
 
@@ -135,11 +135,12 @@
 	}
 }
 
-// checkSurvival records that a listing has shown the run. A run that is listed
-// survivalTime after its start has not crashed its endpoint.
-func (r *run) checkSurvival() {
+// checkSurvival records that a listing requested at requestedAt has shown the run. A run
+// that is listed survivalTime after its start has not crashed its endpoint. The response
+// may have been sent long before it arrived.
+func (r *run) checkSurvival(requestedAt time.Time) {
 	p := r.task.step.job.p
-	if r.survived || p.now.Sub(r.startTime()) < survivalTime {
+	if r.survived || requestedAt.Sub(r.startTime()) < survivalTime {
 		return
 	}
 	r.survived = true
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -95,6 +95,20 @@
 }
 
 var _ = Describe("A task that crashes each endpoint that starts it", func() {
+	// The listing was sent between the start and the crash.
+	It("is counted though a listing that shows its run arrives late", func() {
+		f := newFixture(1, 1)
+		f.submit("a", batch, single)
+		start := f.plan().Starts[0]
+		requestedAt := f.now
+		f.StartSent(start.Run)
+		f.StartConfirmed(start.Run)
+		f.tick(time.Second)
+		f.ApplyListing(start.Endpoint, fleet.Listing{Born: 1, Running: []fleet.RunStatus{running(start.Run, 1)}}, requestedAt)
+		f.EndpointLapsed(start.Endpoint)
+		Expect(f.progress("a").Steps[0].Crashes[0]).To(HaveLen(1))
+	})
+
 	It("is started three times, and its job fails with the task and the endpoints as reason", func() {
 		c := newCrashingCell(2, "a")
 		c.submit("a", batch, single)
--- a/planner/run.go
+++ b/planner/run.go
@@ -216,7 +216,7 @@
 		p.applyEnd(e, end)
 	}
 	for _, s := range l.Running {
-		if !p.applyRunStatus(e, s) {
+		if !p.applyRunStatus(e, s, requestedAt) {
 			unknown = append(unknown, s.Run)
 		}
 	}
@@ -230,9 +230,9 @@
 	return unknown
 }
 
-// applyRunStatus applies the status of a running task. It returns false if
-// the run is unknown.
-func (p *Planner) applyRunStatus(e *endpoint, s fleet.RunStatus) bool {
+// applyRunStatus applies the status of a running task, from a listing requested at
+// requestedAt. It returns false if the run is unknown.
+func (p *Planner) applyRunStatus(e *endpoint, s fleet.RunStatus, requestedAt time.Time) bool {
 	r := p.runs[s.Run]
 	if r == nil {
 		if r = p.adopt(e, s.Run); r == nil {
@@ -251,7 +251,7 @@
 	}
 	r.task.setCheckpoint(s.Saved)
 	r.fire(evReported)
-	r.checkSurvival()
+	r.checkSurvival(requestedAt)
 	return true
 }
 
