Give up lasting tasks after three crashes only

Change: the limit of two crashes does not apply to lasting tasks.

Measured: the new test failed before (two starts instead of three) and passes now, with the other tests of planner.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -179,8 +179,8 @@
 	if slices.ContainsFunc(owner.crashes, func(c jobs.Crash) bool { return c.Number == r.id.Number }) {
 		return
 	}
-	// A gang meets the crashes of many endpoints.
-	sole := r.endpoint.suspects.sole == t.step && !t.step.Gang
+	// A gang meets the crashes of many endpoints, and a lasting task those of a long time.
+	sole := r.endpoint.suspects.sole == t.step && !t.step.Gang && !t.step.Lasting
 	owner.crashes = append(owner.crashes, jobs.Crash{Number: r.id.Number, Endpoint: r.endpoint.ID, Sole: sole})
 	t.step.job.markChanged()
 }
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -168,6 +168,18 @@
 		Expect(c.starts["a"]).To(Equal(2))
 	})
 
+	// Its job ends for good, with all its other tasks.
+	It("is started three times if it lasts, even if nothing else can have caused the second crash", func() {
+		c := newCrashingCell(3, "a")
+		c.prompt = true
+		lasting := single
+		lasting.Lasting = true
+		c.submit("a", batch, lasting)
+		c.rounds(8)
+		Expect(c.outcomes["a"].State).To(Equal(jobs.Failed))
+		Expect(c.starts["a"]).To(Equal(3))
+	})
+
 	// On days on which endpoints crash by themselves, a job failed after two crashes
 	// that came 0.3 and 0.5 s after the starts of its task.
 	It("is not counted while another run was started later before the endpoint stopped responding", func() {
