Do not relay a call whose time is over

Cause: a direct call that ended with its context was sent on to up to three other instances, which each made it at the table, though the reply could reach nobody: a table that is slow got up to four writes for one.

Change: the relay makes no further attempt once the context has ended. The outcome stays ambiguous, as it was.

Test: failed before (1 write through the other instance), passes with the change, also with -race.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,6 +118,10 @@
 	r.Wait = min(r.Wait, relayedWatchWait)
 	others := t.others()
 	for range min(maxPeersTried, len(others)) {
+		if ctx.Err() != nil {
+			// A call that is sent now has no one to receive its reply.
+			break
+		}
 		index := t.next.Load()
 		var reply Reply
 		callCtx, cancel := context.WithTimeout(ctx, r.Wait+callTime(ctx))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -112,4 +112,25 @@
 		Expect(eris.Is(err, storage.ErrUnavailable) || eris.Is(err, storage.ErrConflict)).To(BeTrue(), "%v", err)
 		Expect(backend.Writes()).To(Equal(1))
 	})
+
+	// The write was sent to three other instances, though nobody waited for it.
+	It("does not use other instances once the time of the call is over", func() {
+		address := startPeer(direct)
+		connected := withoutDirect(address)
+		_, err := connected.Scan(ctx, "t//")
+		Expect(err).NotTo(HaveOccurred())
+		t := relay.New(silentTable{}, peers, func() []string { return []string{address} }, clock.Boot{}, logging.Discard())
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		Expect(eris.Is(t.Commit(short, put), storage.ErrUnavailable)).To(BeTrue())
+		Consistently(backend.Writes).WithTimeout(300 * time.Millisecond).Should(BeZero())
+	})
 })
+
+// silentTable is a table that does not reply to writes.
+type silentTable struct{ storage.FeedTable }
+
+func (silentTable) Write(ctx context.Context, _ storage.Txn) (storage.RowVersion, error) {
+	<-ctx.Done()
+	return 0, storage.ErrUnavailable
+}
