Reserve more of a drain for the last answers

Cause: an answered connection waits up to 0.4 s for its caller, but the requests of a drain had only 0.5 s from their deadline to its end.

Change: 0.8 s are reserved.

Measured: httpserve, gate and process pass under the race detector.

--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -30,9 +30,9 @@
 	finishing
 )
 
-// answerTime is the time before the end of a drain in which the answers are written
-// that were still awaited.
-const answerTime = 500 * time.Millisecond
+// answerTime is the time reserved at the end of a drain for writing the answers that
+// were still awaited, and for their callers to receive them (receiveTime).
+const answerTime = 800 * time.Millisecond
 
 // phaseNames are the names of the phases in logs and metrics.
 var phaseNames = map[phase]string{serving: "serving", lingering: "lingering", finishing: "finishing"}
