--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -23,13 +23,13 @@
 var evBytesRead, evNextRead, evWritten, evWriteFailed chart.Event
 var evHandlerBegun, evHandlerReturned, evIdle, evClosed chart.Event
 
-// stateAccepted is the state before the first byte, stateFlushing that after the
-// handler of a request. unrequested are the states in
-// which no byte of a request has been read.
+// stateAccepted is the state before the first byte, stateFlushing that after the handler
+// of a request. withoutRequest are the states in which no byte of a request has been
+// read.
 var (
 	stateAccepted, stateFlushing chart.State
 
-	unrequested chart.StateSet
+	withoutRequest chart.StateSet
 )
 
 const (
@@ -58,7 +58,7 @@
 	evClosed = machine.MustEvent("closed")
 	stateAccepted = machine.MustState("accepted")
 	stateFlushing = machine.MustState("flushing")
-	unrequested = machine.MustSet("accepted", "waiting")
+	withoutRequest = machine.MustSet("accepted", "waiting")
 }
 
 // conn is a caller's connection. It records whether a request has been read that has
@@ -68,8 +68,8 @@
 	// socket is the connection without the layers on top of it.
 	socket net.Conn
 	server *Server
-	// secured is the connection if it has TLS, and otherwise nil.
-	secured *tls.Conn
+	// tlsConn is the connection if it has TLS, and otherwise nil.
+	tlsConn *tls.Conn
 
 	// mu guards the fields below: net/http reads on one goroutine while the handler
 	// runs on another.
@@ -89,8 +89,8 @@
 	// another one is in force, so that a read without bytes returns.
 	deadline time.Time
 	ending   bool
-	// shaken is set after the handshake of a connection with TLS.
-	shaken bool
+	// handshakeDone is set after the handshake of a connection with TLS.
+	handshakeDone bool
 }
 
 // Read implements net.Conn. At the end of a drain it returns io.EOF if no byte of a
@@ -113,13 +113,13 @@
 
 // handshake completes the handshake of a connection with TLS before its first read.
 func (c *conn) handshake() error {
-	if c.secured == nil || c.secured.ConnectionState().HandshakeComplete {
+	if c.tlsConn == nil || c.tlsConn.ConnectionState().HandshakeComplete {
 		return nil
 	}
-	err := c.secured.Handshake()
+	err := c.tlsConn.Handshake()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.shaken = true
+	c.handshakeDone = true
 	if err == nil && c.server.is(finishing) {
 		c.endWaiting()
 	}
@@ -136,7 +136,7 @@
 // endWaiting interrupts the read of a connection without a request. A handshake is not
 // interrupted, since its request follows. The caller holds mu.
 func (c *conn) endWaiting() {
-	if !unrequested.Has(c.state) || c.ending || c.secured != nil && !c.shaken {
+	if !withoutRequest.Has(c.state) || c.ending || c.tlsConn != nil && !c.handshakeDone {
 		return
 	}
 	c.ending = true
@@ -173,7 +173,7 @@
 	}
 	arrived := 0
 	err = raw.Control(func(fd uintptr) {
-		if arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && arrived == 0 && c.secured == nil {
+		if arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && arrived == 0 && c.tlsConn == nil {
 			err = unix.Shutdown(int(fd), unix.SHUT_WR)
 		}
 	})
@@ -264,8 +264,8 @@
 // that it has not read to its end.
 func (c *conn) CloseWrite() error {
 	served := c.socket
-	if c.secured != nil {
-		served = c.secured
+	if c.tlsConn != nil {
+		served = c.tlsConn
 	}
 	if half, ok := served.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -57,9 +57,9 @@
 	// on a goroutine of its own.
 	mu   sync.Mutex
 	open map[*conn]struct{}
-	// quiet is closed when a drain is finishing and no connection is open.
-	quiet      chan struct{}
-	closeQuiet sync.Once
+	// drained is closed when a drain is finishing and no connection is open.
+	drained      chan struct{}
+	closeDrained sync.Once
 }
 
 // New returns a server that serves by the settings of server, whose Handler,
@@ -67,7 +67,7 @@
 func New(server *http.Server, log *logging.Logger) *Server {
 	s := &Server{
 		http: server, log: log, served: make(chan struct{}),
-		open: map[*conn]struct{}{}, quiet: make(chan struct{}),
+		open: map[*conn]struct{}{}, drained: make(chan struct{}),
 	}
 	server.Handler = s.handler(server.Handler)
 	server.ConnState = recordIdle
@@ -109,7 +109,7 @@
 	s.acceptor.stop(ctx)
 	s.finish()
 	select {
-	case <-s.quiet:
+	case <-s.drained:
 	case <-ctx.Done():
 		s.log.Warn("calls_cut_off", slog.Int("connections", s.connections()))
 	}
@@ -123,7 +123,7 @@
 	for c := range s.open {
 		c.end()
 	}
-	s.closeIfQuiet()
+	s.closeIfDrained()
 }
 
 func (s *Server) is(p phase) bool { return s.phase.Load() == int32(p) }
@@ -136,7 +136,7 @@
 
 func (s *Server) track(accepted, socket net.Conn) *conn {
 	c := &conn{Conn: accepted, socket: socket, server: s}
-	c.secured, _ = accepted.(*tls.Conn)
+	c.tlsConn, _ = accepted.(*tls.Conn)
 	machine.Start(&c.state, c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,15 +151,15 @@
 		return
 	}
 	delete(s.open, c)
-	s.closeIfQuiet()
+	s.closeIfDrained()
 }
 
-// closeIfQuiet closes quiet when the last connection has ended. A connection is accepted
-// later only if the drain's time was over before the listener was closed. The caller
+// closeIfDrained closes drained when the last connection has ended. A connection is
+// accepted later only if the drain's time was over before the listener was closed. The caller
 // holds mu.
-func (s *Server) closeIfQuiet() {
+func (s *Server) closeIfDrained() {
 	if s.is(finishing) && len(s.open) == 0 {
-		s.closeQuiet.Do(func() { close(s.quiet) })
+		s.closeDrained.Do(func() { close(s.drained) })
 	}
 }
 
