Keep the bound of resource amounts in one place

Change: model.MaxAmount and Resources.InRange. The planner clamps capacities to 2^40 instead of 2^50, which entries can't exceed. No other behaviour.

--- a/front/submit.go
+++ b/front/submit.go
@@ -15,9 +15,6 @@
 	maxSpec = 4000
 	// maxTasks bounds the tasks of a job, those of all occurrences together.
 	maxTasks = 100000
-	// maxAmount bounds the amount of one resource that a task takes, in the
-	// resource's unit, so that the sums of a job's tasks don't overflow.
-	maxAmount = 1 << 40
 )
 
 // submission is a message to a submission writer: a job to write, or one to cancel.
@@ -107,10 +104,8 @@
 
 // validateStep is validate for the step of the index, except for its count.
 func validateStep(index int, step *jobs.Step) string {
-	for _, amount := range step.Size {
-		if amount < 0 || amount > maxAmount {
-			return "the size of a task is not valid"
-		}
+	if !step.Size.InRange() {
+		return "the size of a task is not valid"
 	}
 	for _, dependency := range step.After {
 		if dependency < 0 || dependency >= index {
--- a/gate/spec.go
+++ b/gate/spec.go
@@ -11,9 +11,6 @@
 const (
 	// maxTasks is the maximum number of tasks of one request.
 	maxTasks = 10000
-	// maxAmount is the maximum of each resource of one task, in the resource's
-	// unit.
-	maxAmount = 1 << 40
 	// maxEstimate is the longest declared run time of a task.
 	maxEstimate = 30 * 24 * time.Hour
 	// maxPayloadBytes bounds the payload, which is sent with every task.
@@ -54,11 +51,8 @@
 		return "tasks is out of range"
 	case spec.Estimate < 0 || spec.Estimate > maxEstimate:
 		return "estimate_ns is out of range"
-	}
-	for _, amount := range spec.Size {
-		if amount < 0 || amount > maxAmount {
-			return "size is out of range"
-		}
+	case !spec.Size.InRange():
+		return "size is out of range"
 	}
 	return ""
 }
--- a/model/resources.go
+++ b/model/resources.go
@@ -21,9 +21,23 @@
 	NumResources
 )
 
+// MaxAmount bounds each amount of a size, a capacity or a limit, in the resource's unit.
+// Sums over a million endpoints, and over the tasks of a job, don't overflow.
+const MaxAmount = 1 << 40
+
 // Resources holds an amount of each resource, in that resource's unit.
 type Resources [NumResources]int64
 
+// InRange reports whether each amount is from 0 to MaxAmount.
+func (r Resources) InRange() bool {
+	for _, amount := range r {
+		if amount < 0 || amount > MaxAmount {
+			return false
+		}
+	}
+	return true
+}
+
 // Add returns r plus other.
 func (r Resources) Add(other Resources) Resources {
 	for i := range r {
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -27,9 +27,6 @@
 	// refusalBackoff is how long an endpoint that refused a start gets no
 	// further ones.
 	refusalBackoff = 300 * time.Millisecond
-	// maxAmount bounds each amount of a registered capacity, in the resource's
-	// unit, so that sums of capacities and sizes don't overflow.
-	maxAmount = 1 << 50
 )
 
 // endpoint is an endpoint with its runs.
@@ -233,7 +230,7 @@
 // the previous entry while runs are in progress.
 func (e *endpoint) setEntry(entry fleet.Endpoint) {
 	for i, amount := range entry.Capacity {
-		entry.Capacity[i] = min(max(amount, 0), maxAmount)
+		entry.Capacity[i] = min(max(amount, 0), model.MaxAmount)
 	}
 	e.Endpoint = entry
 	e.updateFree()
