Split the release of a run from the count of its loss

Cause: one function freed capacity, weighed evidence and requeued. Change: detach and countLoss; no behaviour.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// countLoss records a run that ended with its endpoint. It reports whether the run
+// counts as one that may have crashed it. ending is set if its stop was confirmed.
+func (p *Planner) countLoss(r *run, event runEvent, ending bool) bool {
+	suspect := r.maySuspect(ending) && (!r.endpoint.suspects.recent || r.startedBeforeSilence())
+	p.recordLoss(r, event, suspect)
+	if suspect {
+		r.task.recordCrash(r)
+	}
+	return suspect
+}
+
 // lostWithEndpoint reports whether the event, which ended the run, means that the
 // incarnation of its endpoint has ended.
 func (r *run) lostWithEndpoint(event runEvent) bool {
--- a/planner/run.go
+++ b/planner/run.go
@@ -155,6 +155,18 @@
 // release frees the capacity of a run that the event has ended in the given state.
 // The task becomes pending again unless the end of the run carried a result.
 func (p *Planner) release(r *run, event runEvent, before chart.State) {
+	p.detach(r)
+	t := r.task
+	if before != runReserved && r.lostWithEndpoint(event) && p.countLoss(r, event, before == runEnding) {
+		t.fire(evTaskCrash)
+	} else if event != evEnd && t.run == nil {
+		t.fire(evTaskRelease)
+	}
+	t.step.job.runEnded()
+}
+
+// detach removes an ended run from its endpoint, its team and its task.
+func (p *Planner) detach(r *run) {
 	p.markFreed(r.endpoint)
 	delete(p.runs, r.id)
 	r.endpoint.removeRun(r)
@@ -166,18 +178,6 @@
 	} else if t.secondRun == r {
 		t.secondRun = nil
 	}
-	lost := before != runReserved && r.lostWithEndpoint(event)
-	suspect := lost && r.maySuspect(before == runEnding) && (!r.endpoint.suspects.recent || r.startedBeforeSilence())
-	if lost {
-		p.recordLoss(r, event, suspect)
-	}
-	if suspect {
-		t.recordCrash(r)
-		t.fire(evTaskCrash)
-	} else if event != evEnd && t.run == nil {
-		t.fire(evTaskRelease)
-	}
-	t.step.job.runEnded()
 }
 
 // stop requests that the run be stopped.
