Share the access to a socket's descriptor and the end of serving

Cause: the last read of the change found the same code twice (SyscallConn in httpserve, the mapping of ErrServerClosed in httpserve and process), and a copy of the TLS state at each read of a secured connection. Change: withDescriptor, ServeUntilClosed, one nested condition in placeTasks.

--- a/httpserve/acceptor.go
+++ b/httpserve/acceptor.go
@@ -78,19 +78,25 @@
 // queued reports whether a connection waits to be accepted: on a busy instance Accept
 // may time out though one does.
 func (a *acceptor) queued() bool {
-	socket, ok := a.socket.Listener.(syscall.Conn)
+	ready := 0
+	withDescriptor(a.socket.Listener, func(fd int) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ready > 0
+}
+
+// withDescriptor calls f with the file descriptor of a socket. It returns false if the
+// socket has none, or has been closed.
+func withDescriptor(socket any, f func(fd int)) bool {
+	system, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
+	raw, err := system.SyscallConn()
 	if err != nil {
 		return false
 	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return err == nil && ready > 0
+	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
 
 // setDeadline bounds the wait for a connection. An error means that the listener is
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -113,14 +112,16 @@
 
 // handshake completes the handshake of a connection with TLS before its first read.
 func (c *conn) handshake() error {
-	if c.tlsConn == nil || c.tlsConn.ConnectionState().HandshakeComplete {
+	if c.tlsConn == nil {
 		return nil
 	}
+	// It returns at once after the first one.
 	err := c.tlsConn.Handshake()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first := !c.handshakeDone
 	c.handshakeDone = true
-	if err == nil && c.server.is(finishing) {
+	if first && err == nil && c.server.is(finishing) {
 		c.endWaiting()
 	}
 	return err
@@ -163,21 +164,15 @@
 // may time out though they have. It reports whether none had. With TLS the sending
 // side is closed by Close, which sends an alert before.
 func (c *conn) endEmpty() bool {
-	socket, ok := c.socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
 	arrived := 0
-	err = raw.Control(func(fd uintptr) {
-		if arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil && arrived == 0 && c.tlsConn == nil {
-			err = unix.Shutdown(int(fd), unix.SHUT_WR)
+	known := withDescriptor(c.socket, func(fd int) {
+		var err error
+		if arrived, err = unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil && arrived == 0 && c.tlsConn == nil {
+			// An error means that the connection has ended.
+			_ = unix.Shutdown(fd, unix.SHUT_WR)
 		}
 	})
-	return err != nil || arrived == 0
+	return !known || arrived == 0
 }
 
 // SetReadDeadline implements net.Conn.
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -78,7 +78,12 @@
 // Serve serves on the listener that Listen has returned until Drain or Close.
 func (s *Server) Serve(listener net.Listener) error {
 	defer close(s.served)
-	err := s.http.Serve(listener)
+	return ServeUntilClosed(s.http, listener)
+}
+
+// ServeUntilClosed serves on the listener until the server is closed.
+func ServeUntilClosed(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -155,8 +160,8 @@
 }
 
 // closeIfDrained closes drained when the last connection has ended. A connection is
-// accepted later only if the drain's time was over before the listener was closed. The caller
-// holds mu.
+// accepted later only if the drain's time was over before the listener was closed. The
+// caller holds mu.
 func (s *Server) closeIfDrained() {
 	if s.is(finishing) && len(s.open) == 0 {
 		s.closeDrained.Do(func() { close(s.drained) })
--- a/planner/place.go
+++ b/planner/place.go
@@ -118,10 +118,10 @@
 		if e == nil && p.mayPreempt(s) {
 			e = p.preemptForTask(s, separate)
 		}
-		if e == nil && (!t.suspect() || len(separate) == len(usable)) {
-			return false
-		}
 		if e == nil {
+			if !t.suspect() || len(separate) == len(usable) {
+				return false
+			}
 			// Other tasks of the step may not have to be kept apart.
 			placedAll = false
 			continue
--- a/process/http.go
+++ b/process/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -64,11 +63,7 @@
 
 // Serve implements HTTPServer.
 func (s pages) Serve(listener net.Listener) error {
-	err := s.Server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return eris.Wrap(err, "serving HTTP")
+	return httpserve.ServeUntilClosed(s.Server, listener)
 }
 
 // ServePages serves pages for machines, such as the readiness page, until the process
