--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -63,8 +63,9 @@
 	leaseUntil  fleet.EndpointTime
 	leaseEndsBy time.Time
 	// lastListedEnd and lastRecordedEnd are the numbers of the last end that the
-	// endpoint listed and of the last one that is recorded.
-	lastListedEnd, lastRecordedEnd int64
+	// endpoint listed and of the last one that is recorded. The endpoint has discarded
+	// the ends up to lastDiscardedEnd.
+	lastListedEnd, lastRecordedEnd, lastDiscardedEnd int64
 	failures                       int
 	nextRenewalAt                  time.Time
 	// missingSince is when the registry entry disappeared; zero while it exists.
@@ -128,20 +129,23 @@
 // of its ends and its clock begin again. The endpoint gets no starts until a
 // listing has shown its new clock.
 func (s *session) newIncarnation(startTime int64, now time.Time) {
-	s.startTime, s.lastListedEnd, s.lastRecordedEnd, s.leaseUntil, s.clock, s.startTimeReceivedAt = startTime, 0, 0, 0, 0, now
+	s.startTime, s.startTimeReceivedAt = startTime, now
+	s.lastListedEnd, s.lastRecordedEnd, s.lastDiscardedEnd = 0, 0, 0
+	s.leaseUntil, s.clock = 0, 0
 }
 
 func (h *Holder) renew(s *session) {
-	renewal := fleet.Renewal{Target: s.target(), Forget: s.lastRecordedEnd, Wait: listWait, Epoch: h.cell.epoch}
+	renewal := fleet.Renewal{Target: s.target(), Wait: listWait, Epoch: h.cell.epoch}
 	if s.clock > 0 && s.failures == 0 {
 		// A renewal that got no response may have taken effect. The lease is not
 		// extended until the endpoint responds again, so that it can expire.
 		renewal.Until = h.extendLease(s)
 	}
-	if s.failures > 0 {
+	if s.failures == 0 && s.lastRecordedEnd > s.lastDiscardedEnd {
 		// The endpoint may have restarted. Its new incarnation would discard
-		// unread ends that have the same numbers as the recorded ones.
-		renewal.Forget = 0
+		// unread ends that have the same numbers as the recorded ones: it has none
+		// yet if it applies the renewal at once, but some while it waits.
+		renewal.Forget, renewal.Wait = s.lastRecordedEnd, 0
 	}
 	if s.lastListedEnd != s.lastRecordedEnd || s.clock == 0 {
 		renewal.Wait = 0
@@ -211,6 +215,9 @@
 	}
 	s.failures = 0
 	h.applyListing(s, p.sentAt, o.Listing)
+	if o.Listing.Born == s.startTime && !p.sentAt.Before(s.startTimeReceivedAt) {
+		s.lastDiscardedEnd = max(s.lastDiscardedEnd, p.command.Renew.Forget)
+	}
 }
 
 // applyListing applies an endpoint's listing. requestedAt is the earliest time at
