--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -62,6 +62,9 @@
 	// endpoint's clock is slow.
 	leaseUntil  fleet.EndpointTime
 	leaseEndsBy time.Time
+	// leaseArrivesBy is the time by which every command with a lease has been executed
+	// or lost; zero before the first one.
+	leaseArrivesBy time.Time
 	// lastListedEnd and lastRecordedEnd are the numbers of the last end that the
 	// endpoint listed and of the last one that is recorded. The endpoint has discarded
 	// the ends up to lastDiscardedEnd.
@@ -79,8 +82,11 @@
 
 // leaseDurationBound returns the time after which a lease granted now has expired
 // even if the endpoint's clock is slow.
-func (h *Holder) leaseDurationBound() time.Duration {
-	return time.Duration(float64(h.leaseDuration())*(1+maxClockDrift)) + leaseMargin
+func (h *Holder) leaseDurationBound() time.Duration { return expiryBound(h.leaseDuration()) }
+
+// expiryBound returns the time in which an endpoint's slow clock has advanced by d.
+func expiryBound(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+maxClockDrift)) + leaseMargin
 }
 
 func (h *Holder) addSession(id model.EndpointID, address string) *session {
@@ -134,6 +140,23 @@
 	s.leaseUntil, s.clock = 0, 0
 }
 
+// observeIncarnation applies a restart of the endpoint. A command that was on its way
+// may have reached the new incarnation, whose clock is behind the lease's end: it
+// grants the longest lease.
+func (h *Holder) observeIncarnation(s *session, startTime int64) {
+	s.newIncarnation(startTime, h.now)
+	if !s.leaseArrivesBy.IsZero() {
+		s.leaseEndsBy = latest(s.leaseEndsBy, s.leaseArrivesBy.Add(expiryBound(h.MaxLease)))
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (h *Holder) renew(s *session) {
 	renewal := fleet.Renewal{Target: s.target(), Wait: listWait, Epoch: h.cell.epoch}
 	if s.clock > 0 && s.failures == 0 {
@@ -163,10 +186,8 @@
 	until := s.clock + fleet.EndpointTime((elapsed + h.leaseDuration()).Milliseconds())
 	s.leaseUntil = max(s.leaseUntil, until)
 	span := time.Duration(s.leaseUntil-s.clock) * time.Millisecond
-	endsBy := s.clockReadAt.Add(time.Duration(float64(span)*(1+maxClockDrift)) + leaseMargin)
-	if endsBy.After(s.leaseEndsBy) {
-		s.leaseEndsBy = endsBy
-	}
+	s.leaseEndsBy = latest(s.leaseEndsBy, s.clockReadAt.Add(expiryBound(span)))
+	s.leaseArrivesBy = h.now.Add(listWait + dispatch.ListTimeout + remoteAllowance)
 	return s.leaseUntil
 }
 
@@ -231,7 +252,7 @@
 		return
 	}
 	if listing.Born != s.startTime {
-		s.newIncarnation(listing.Born, h.now)
+		h.observeIncarnation(s, listing.Born)
 	}
 	s.clock, s.clockReadAt = listing.Clock, h.now
 	h.checkReadable(s, listing)
@@ -375,7 +396,7 @@
 	}
 	switch {
 	case entry.Born > s.startTime && s.startTime > 0:
-		s.newIncarnation(entry.Born, h.now)
+		h.observeIncarnation(s, entry.Born)
 	case s.address != "" && s.address != entry.Address:
 		s.addressUnconfirmed = true
 	}
--- a/holder/sessions_test.go
+++ b/holder/sessions_test.go
@@ -67,3 +67,30 @@
 		Expect(h.cell.sessions["cut"].nextRenewalAt).To(Equal(h.now.Add(renewalRetryMax)))
 	})
 })
+
+var _ = Describe("The lease of an endpoint that has restarted", func() {
+	// A start that was on its way reached the new incarnation. Its clock began again, so
+	// that it granted the longest lease; the holder expected the lease that it had sent.
+	It("counts as the longest one from the arrival of the last command on", func() {
+		h := &Holder{now: time.Unix(1000, 0), Settings: Settings{MaxLease: 10 * time.Second}}
+		h.Log = logging.Discard()
+		h.cell = &cell{planner: planner.New(1)}
+		s := &session{id: "e"}
+		h.applyListing(s, h.now, fleet.Listing{Born: 1, Clock: 100_000})
+		h.extendLease(s)
+		sentAt := h.now
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.applyListing(s, h.now, fleet.Listing{Born: 2, Clock: 5})
+		Expect(s.leaseEndsBy).To(BeTemporally(">=", sentAt.Add(h.MaxLease)))
+	})
+
+	It("has no other end if it got no command with a lease before", func() {
+		h := &Holder{now: time.Unix(1000, 0), Settings: Settings{MaxLease: 10 * time.Second}}
+		h.Log = logging.Discard()
+		h.cell = &cell{planner: planner.New(1)}
+		s := &session{id: "e"}
+		h.applyListing(s, h.now, fleet.Listing{Born: 1, Clock: 100_000})
+		h.applyListing(s, h.now, fleet.Listing{Born: 2, Clock: 5})
+		Expect(s.leaseEndsBy).To(BeZero())
+	})
+})
