--- a/planner/gang.go
+++ b/planner/gang.go
@@ -26,10 +26,9 @@
 	if placement == nil {
 		return false
 	}
-	s.gangRuns++
-	number := int(p.epoch-1)*runsPerEpoch + s.gangRuns
+	s.lastGangRun = max(s.lastGangRun, int(p.epoch-1)*runsPerEpoch) + 1
 	for i, t := range slices.Clone(s.pending) {
-		p.newRun(t, placement[i], number)
+		p.newRun(t, placement[i], s.lastGangRun)
 	}
 	return true
 }
--- a/planner/run.go
+++ b/planner/run.go
@@ -267,7 +267,7 @@
 	r := p.newRun(t, e, id.Number)
 	r.takenOver = true
 	if t.step.Gang {
-		t.step.gangRuns = max(t.step.gangRuns, id.Number)
+		t.step.lastGangRun = max(t.step.lastGangRun, id.Number)
 	}
 	return r
 }
@@ -361,7 +361,7 @@
 	r.fire(evInherit)
 	r.born = record.Born
 	if t.step.Gang {
-		t.step.gangRuns = max(t.step.gangRuns, record.Number)
+		t.step.lastGangRun = max(t.step.lastGangRun, record.Number)
 	}
 }
 
--- a/planner/step.go
+++ b/planner/step.go
@@ -22,10 +22,9 @@
 	tasks    []*task
 	pending  []*task
 	done     int
-	// gangRuns counts the gang's runs in this epoch; adopted and inherited
-	// runs raise it to their number. gangCheckpoint is the gang's last
-	// checkpoint.
-	gangRuns       int
+	// lastGangRun is the highest number of a run of the gang; gangCheckpoint is its
+	// last checkpoint.
+	lastGangRun    int
 	gangCheckpoint string
 	advice         advice
 	rank           rank
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -78,6 +78,25 @@
 		Expect(again[0].Run.Number).To(BeNumerically(">", start.Run.Number))
 	})
 
+	// The number of an adopted run was added to those of the epoch, so that a gang left the
+	// range of its epoch: 1, 1002, 3003, 3001, and 3003 again.
+	It("starts gangs again under numbers of its own epoch", func() {
+		job := &jobs.Job{ID: "a", Team: "red", Queue: gangs, Steps: []jobs.Step{{Count: 2, Size: size(9000, 100), Estimate: time.Second, Gang: true}}}
+		progress := &jobs.Progress{}
+		for epoch := uint64(1); epoch <= 5; epoch++ {
+			f := newFixture(epoch, 0)
+			f.AddJob(job, progress)
+			for i := range 2 {
+				f.SetEndpoint(endpointInfo(i))
+				f.list(endpointID(i))
+			}
+			starts := f.plan().Starts
+			Expect(starts).To(HaveLen(2))
+			Expect(starts[0].Run.Number).To(Equal(int(epoch-1)*1000 + 1))
+			progress = f.progress("a")
+		}
+	})
+
 	It("does not repeat tasks recorded as done, and keeps recorded failures", func() {
 		previous := newFixture(1, 2)
 		job := previous.submit("a", batch, jobs.Step{Count: 2, Size: size(1000, 100), Estimate: time.Second})
