--- a/planner/advice.go
+++ b/planner/advice.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"math"
 	"slices"
 	"sort"
 	"time"
@@ -120,7 +119,7 @@
 		list, maxSlots = p.endpointsByCapacity(s, size, func(e *endpoint) model.Resources { return p.capacityWithPreemption(e, queue.Priority) })
 	}
 	eligibleRatio := max(averageOf(p.eligibleRatio, s.job.Queue).valueOr(initialEligibleRatio), 0.05)
-	needed := int(math.Ceil(adviceCapacityFactor*float64(len(s.pending))/(float64(maxSlots)*eligibleRatio))) + minAdviceEndpoints
+	needed := minAdviceEndpoints + endpointsFor(list, adviceCapacityFactor*float64(len(s.pending))/eligibleRatio, maxSlots)
 	if perEndpoint := queue.Advice.PerEndpoint; perEndpoint > 0 {
 		// Further endpoints cost little compared with the fixed time of the
 		// request, so it names at least as many as take half that time.
@@ -133,6 +132,22 @@
 	return chosen
 }
 
+// endpointsFor returns the number of the first endpoints in the list that have capacity
+// for the number of tasks. Those without free capacity count as if they were empty: what
+// runs there ends.
+func endpointsFor(list []placementOption, tasks float64, maxSlots int) int {
+	for i, option := range list {
+		if tasks <= 0 {
+			return i
+		}
+		if option.slots == 0 {
+			option.slots = maxSlots
+		}
+		tasks -= float64(option.slots)
+	}
+	return len(list)
+}
+
 // endpointsByCapacity returns the endpoints that could run the step and have
 // not been named in a request. Those with capacity for the most waiting tasks
 // come first, the fastest of equal ones before the others. maxSlots is the
@@ -165,6 +180,16 @@
 	p.requestAdvice(s, queue, p.adviceCandidates(s, queue))
 }
 
+// widenAdviceToFree requests advice about further endpoints with free capacity, if there
+// are any and the response arrives before the step has to start.
+func (p *Planner) widenAdviceToFree(s *step, queue *catalog.Queue) {
+	free := slices.DeleteFunc(p.adviceCandidates(s, queue), func(e *endpoint) bool { return !fits(s.Committed(), e.planned) })
+	if len(free) == 0 || p.now.Add(queue.Advice.Cost(len(free))).After(s.rank.due) {
+		return
+	}
+	p.requestAdvice(s, queue, free)
+}
+
 // averageOf returns the queue's average, creating it if there is none.
 func averageOf(averages map[jobs.QueueName]*movingAverage, queue jobs.QueueName) *movingAverage {
 	average := averages[queue]
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -20,7 +20,7 @@
 	}
 	candidates = s.tasks[0].separate(candidates)
 	placement := p.gangPlacement(s, candidates, func(e *endpoint) model.Resources { return e.planned })
-	if placement == nil && p.mayPreempt(s) {
+	if placement == nil && p.mayPreempt(s) && !p.expectsFreeCapacity(s) {
 		placement = p.gangPlacementByPreemption(s, candidates)
 	}
 	if placement == nil {
@@ -33,6 +33,20 @@
 	return true
 }
 
+// expectsFreeCapacity reports whether advice about further endpoints is on its way to a
+// gang that can still wait for it. If none is, it requests advice about endpoints with
+// free capacity.
+func (p *Planner) expectsFreeCapacity(s *step) bool {
+	queue := p.queueOf(s.job)
+	if queue.Advice == nil || !p.now.Before(s.waitsUntil(freeCapacityWaitFraction)) {
+		return false
+	}
+	if !s.advice.outstanding {
+		p.widenAdviceToFree(s, queue)
+	}
+	return s.advice.outstanding
+}
+
 // gangPlacement returns an endpoint for each task of the gang, or nil. A gang
 // that prefers a single rack gets one if a rack has enough capacity.
 func (p *Planner) gangPlacement(s *step, candidates []*endpoint, capacity func(*endpoint) model.Resources) []*endpoint {
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -13,6 +13,9 @@
 	// preemptionWaitFraction is the part of the time between opening and due
 	// time that a step waits for capacity before others are preempted.
 	preemptionWaitFraction = 0.2
+	// freeCapacityWaitFraction is the part of that time that a gang waits for advice
+	// about further endpoints before others are preempted.
+	freeCapacityWaitFraction = 0.7
 	// maxPreemptions is how often a task may be preempted.
 	maxPreemptions = 2
 )
@@ -39,8 +42,13 @@
 	if s.rank.urgency != inTime || !s.Gang && p.now.Add(p.stopTime).After(s.rank.due) {
 		return false
 	}
-	wait := time.Duration(preemptionWaitFraction * float64(s.rank.due.Sub(s.openedAt)))
-	return p.now.Sub(s.openedAt) >= wait
+	return !p.now.Before(s.waitsUntil(preemptionWaitFraction))
+}
+
+// waitsUntil returns when the fraction of the time between the step's opening and its
+// due time has passed.
+func (s *step) waitsUntil(fraction float64) time.Time {
+	return s.openedAt.Add(time.Duration(fraction * float64(s.rank.due.Sub(s.openedAt))))
 }
 
 // preemptible reports whether the run may be stopped for a step of the
@@ -81,22 +89,17 @@
 // step fit, and the work that this loses in core-milliseconds.
 func (p *Planner) victims(s *step, e *endpoint, n int) (list []*run, cost float64, ok bool) {
 	size := s.Committed().Scale(int64(n))
-	capacity := e.planned
-	if fits(size, capacity) {
+	if fits(size, e.planned) {
 		return nil, 0, true
 	}
 	if !fits(size, p.capacityWithPreemption(e, s.rank.priority)) {
 		return nil, 0, false
 	}
-	for _, r := range p.preemptibleByCost(e, s.rank.priority) {
-		list = append(list, r)
-		cost += p.preemptionCost(r)
-		capacity = capacity.Add(r.size)
-		if fits(size, capacity) {
-			return list, cost, true
-		}
+	offer := endpointOffer{endpoint: e, planned: e.planned, preemptible: p.preemptibleByCost(e, s.rank.priority)}
+	if !offer.extend(p, size) {
+		return nil, 0, false
 	}
-	return nil, 0, false
+	return offer.victims, offer.cost, true
 }
 
 // preemptibleByCost returns the endpoint's runs that may be stopped for a step of the
@@ -192,37 +195,6 @@
 	return false
 }
 
-// gangPlacementByPreemption returns an endpoint for each task of the gang and
-// preempts less urgent runs there, or returns nil.
-func (p *Planner) gangPlacementByPreemption(s *step, candidates []*endpoint) []*endpoint {
-	placement := p.gangPlacement(s, candidates, func(e *endpoint) model.Resources { return p.capacityWithPreemption(e, s.rank.priority) })
-	if placement == nil {
-		return nil
-	}
-	needed := map[*endpoint]int{}
-	for _, e := range placement {
-		needed[e]++
-	}
-	var stops []*run
-	totalCost := 0.0
-	for _, e := range candidates {
-		if needed[e] == 0 {
-			continue
-		}
-		victims, cost, ok := p.victims(s, e, needed[e])
-		if !ok {
-			return nil
-		}
-		stops = append(stops, victims...)
-		totalCost += cost
-	}
-	if totalCost > s.estimatedWork(s.Count) {
-		return nil
-	}
-	p.preempt(s, stops)
-	return placement
-}
-
 // estimatedWork returns the work of n tasks of the step, in
 // core-milliseconds. Preemption for them must not lose more.
 func (s *step) estimatedWork(n int) float64 {
--- /dev/null
+++ b/planner/replay_test.go
@@ -0,0 +1,316 @@
+package planner_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
+)
+
+const (
+	// replayRound is the time between two rounds of the planner.
+	replayRound = 20 * time.Millisecond
+	// replayStopTime is how long the stop of a run takes.
+	replayStopTime = 400 * time.Millisecond
+	// replayListing is the time between two listings of an endpoint on which no run
+	// ends.
+	replayListing = 600 * time.Millisecond
+	// replayCheckpoint is the work between two checkpoints, replayRestore the time that
+	// a run takes to resume from one.
+	replayCheckpoint = 500 * time.Millisecond
+	replayRestore    = 100 * time.Millisecond
+)
+
+// workload describes the jobs of one queue. Sizes and times are means; the samples
+// are log-normal with the spread.
+type workload struct {
+	queue       jobs.QueueName
+	perSecond   float64
+	width       int
+	cpu, memory float64
+	runTime     time.Duration
+	spread      float64
+	gang        bool
+	// checkpoints is the share of the jobs whose runs save checkpoints.
+	checkpoints   float64
+	advice        catalog.Advice
+	eligibleRatio float64
+}
+
+// largeFleet is the load of three queues at three quarters of 16 processors for each
+// of the endpoints: short urgent tasks, gangs, and batch work that may be preempted.
+func largeFleet(endpoints int, load float64) []workload {
+	rate := load * float64(endpoints) / 540
+	validity := 2 * time.Second
+	return []workload{
+		{
+			queue: urgent, perSecond: 78.9 * rate, width: 3, cpu: 3700, memory: 14000, runTime: time.Second, spread: 0.5,
+			advice:        catalog.Advice{BaseTime: 20 * time.Millisecond, PerEndpoint: 280 * time.Microsecond, TicketValidity: validity},
+			eligibleRatio: 0.7,
+		},
+		{
+			queue: gangs, perSecond: 9.4 * rate, width: 20, cpu: 4500, memory: 9400, runTime: 4 * time.Second, spread: 0.5, gang: true,
+			advice:        catalog.Advice{BaseTime: 410 * time.Millisecond, PerEndpoint: 5900 * time.Microsecond, TicketValidity: validity},
+			eligibleRatio: 0.3,
+		},
+		{
+			queue: batch, perSecond: 16.6 * rate, width: 15, cpu: 2600, memory: 5300, runTime: 3400 * time.Millisecond, spread: 0.5, checkpoints: 0.8,
+			advice:        catalog.Advice{BaseTime: 140 * time.Millisecond, PerEndpoint: 2 * time.Millisecond, TicketValidity: validity},
+			eligibleRatio: 0.45,
+		},
+	}
+}
+
+// replayedRun is a run on a simulated endpoint.
+type replayedRun struct {
+	start     planner.Start
+	step      *jobs.Step
+	startedAt time.Time
+	// work is what remained of the task's run time at the start.
+	work   time.Duration
+	endsAt time.Time
+	// stopsAt is when a stop ends the run; zero for none.
+	stopsAt time.Time
+}
+
+// replay plays a workload against the planner's decisions alone: a clock, endpoints
+// that run what they are sent, and an advice service.
+type replay struct {
+	*fixture
+	random    *rand.Rand
+	workloads []workload
+	running   map[model.EndpointID]map[jobs.RunID]*replayedRun
+	listedAt  map[model.EndpointID]time.Time
+	// remaining is what remains of each task's run time; the members of a gang share
+	// one entry.
+	remaining     map[jobs.TaskID]time.Duration
+	eligibleRatio map[jobs.QueueName]float64
+	// credit is the fraction of a job that has arrived of each queue.
+	credit    map[jobs.QueueName]float64
+	responses []adviceResponse
+	submitted int
+	totals    replayTotals
+}
+
+type adviceResponse struct {
+	request planner.AdviceRequest
+	at      time.Time
+}
+
+// replayTotals is what a replay has counted.
+type replayTotals struct {
+	starts, preempted int
+	// lost is the work of stopped runs that no checkpoint preserves, in core-seconds,
+	// done the other work.
+	lost, done float64
+	jobs       map[jobs.QueueName]map[planner.Timeliness]int
+}
+
+// inTime returns the share of the queue's ended jobs that met their objective.
+func (t replayTotals) inTime(queue jobs.QueueName) float64 {
+	all := 0
+	for _, n := range t.jobs[queue] {
+		all += n
+	}
+	return float64(t.jobs[queue][planner.InTime]) / float64(max(all, 1))
+}
+
+func (t replayTotals) String() string {
+	return fmt.Sprintf("%d starts, %d preempted (%.1f %%), %.0f of %.0f core-s lost; in time: urgent %.3f, gangs %.3f, batch %.3f; %v",
+		t.starts, t.preempted, 100*float64(t.preempted)/float64(max(t.starts, 1)), t.lost, t.lost+t.done,
+		t.inTime(urgent), t.inTime(gangs), t.inTime(batch), t.jobs)
+}
+
+func newReplay(seed uint64, endpoints int, workloads []workload) *replay {
+	r := &replay{
+		fixture: newFixture(1, endpoints), random: rand.New(rand.NewPCG(seed, 0)), workloads: workloads,
+		running: map[model.EndpointID]map[jobs.RunID]*replayedRun{}, listedAt: map[model.EndpointID]time.Time{},
+		remaining: map[jobs.TaskID]time.Duration{}, credit: map[jobs.QueueName]float64{}, eligibleRatio: map[jobs.QueueName]float64{},
+		totals: replayTotals{jobs: map[jobs.QueueName]map[planner.Timeliness]int{}},
+	}
+	r.SetStopTime(replayStopTime)
+	r.SetAdviceInstances(endpoints / 6)
+	c := *r.catalog
+	c.Version++
+	c.Queues = map[jobs.QueueName]*catalog.Queue{}
+	c.Teams = map[model.TeamName]*catalog.Team{"red": {Name: "red", Weight: 1e6}}
+	for _, w := range workloads {
+		queue := *r.catalog.Queues[w.queue]
+		queue.Advice = &w.advice
+		c.Queues[w.queue] = &queue
+		r.eligibleRatio[w.queue] = w.eligibleRatio
+		r.totals.jobs[w.queue] = map[planner.Timeliness]int{}
+	}
+	r.catalog = &c
+	r.SetCatalog(&c)
+	for i := range endpoints {
+		id := endpointID(i)
+		r.running[id] = map[jobs.RunID]*replayedRun{}
+		r.listedAt[id] = r.now.Add(-time.Duration(r.random.Int64N(int64(replayListing))))
+	}
+	return r
+}
+
+// play runs the workload for the duration.
+func (r *replay) play(duration time.Duration) {
+	for end := r.now.Add(duration); r.now.Before(end); {
+		r.tick(replayRound)
+		for _, w := range r.workloads {
+			r.arrive(w)
+		}
+		r.answerAdvice()
+		r.advanceRuns()
+		r.execute(r.plan())
+	}
+}
+
+// pause lets time pass without a round of the planner, as between two holders.
+func (r *replay) pause(duration time.Duration) {
+	for end := r.now.Add(duration); r.now.Before(end); {
+		r.tick(replayRound)
+		for _, w := range r.workloads {
+			r.arrive(w)
+		}
+		r.advanceRuns()
+	}
+}
+
+// sample returns a log-normal sample with the mean and the spread, at most 2.5 times
+// the mean.
+func (r *replay) sample(mean, spread float64) float64 {
+	return mean * min(math.Exp(spread*r.random.NormFloat64()-spread*spread/2), 2.5)
+}
+
+func (r *replay) arrive(w workload) {
+	r.credit[w.queue] += w.perSecond * replayRound.Seconds()
+	for ; r.credit[w.queue] >= 1; r.credit[w.queue]-- {
+		r.submitted++
+		id := jobs.ID(fmt.Sprintf("%s%05d", w.queue, r.submitted))
+		work := time.Duration(r.sample(float64(w.runTime), w.spread))
+		step := jobs.Step{
+			Count: max(1, int(r.sample(float64(w.width), 0.6))), Gang: w.gang, Checkpoints: r.random.Float64() < w.checkpoints,
+			Size:     size(int64(r.sample(w.cpu, 0.4)), int64(r.sample(w.memory, 0.5))),
+			Estimate: time.Duration(float64(work) * (0.8 + 0.4*r.random.Float64())),
+		}
+		for i := range step.Count {
+			r.remaining[jobs.TaskID{StepID: jobs.StepID{Job: id}, Index: i}] = work
+		}
+		r.submit(id, w.queue, step)
+	}
+}
+
+// mayRun is the policy of the advice service.
+func (r *replay) mayRun(step jobs.StepID, id model.EndpointID, ratio float64) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(step.String() + string(id)))
+	return float64(h.Sum32()%1000) < 1000*ratio
+}
+
+func (r *replay) answerAdvice() {
+	r.responses = slices.DeleteFunc(r.responses, func(response adviceResponse) bool {
+		if response.at.After(r.now) {
+			return false
+		}
+		ratio := 0.0
+		if job := r.Job(response.request.Step.Job); job != nil {
+			ratio = r.eligibleRatio[job.Queue]
+		}
+		tickets := map[model.EndpointID]string{}
+		for _, id := range response.request.Endpoints {
+			if r.mayRun(response.request.Step, id, ratio) {
+				tickets[id] = "t"
+			}
+		}
+		r.ApplyAdvice(response.request, tickets, r.now)
+		return true
+	})
+}
+
+// advanceRuns ends the runs that are due and lists their endpoints.
+func (r *replay) advanceRuns() {
+	for _, id := range r.Endpoints() {
+		listing := fleet.Listing{Born: 1}
+		for _, run := range r.runsOf(id) {
+			switch {
+			case !run.endsAt.After(r.now) && (run.stopsAt.IsZero() || run.endsAt.Before(run.stopsAt)):
+				listing.Ended = append(listing.Ended, fleet.End{Run: run.start.Run, Outcome: fleet.Succeeded})
+				r.totals.done += run.cores() * run.work.Seconds()
+				delete(r.running[id], run.start.Run)
+			case !run.stopsAt.IsZero() && !run.stopsAt.After(r.now):
+				listing.Ended = append(listing.Ended, fleet.End{Run: run.start.Run, Outcome: fleet.Stopped})
+				r.stopped(run)
+				delete(r.running[id], run.start.Run)
+			}
+		}
+		if len(listing.Ended) == 0 && r.now.Sub(r.listedAt[id]) < replayListing {
+			continue
+		}
+		r.listedAt[id] = r.now
+		for _, run := range r.runsOf(id) {
+			percent := 100 * float64(r.now.Sub(run.startedAt)) / float64(max(run.work, 1))
+			listing.Running = append(listing.Running, running(run.start.Run, min(percent, 99)))
+		}
+		r.ApplyListing(id, listing, r.now)
+	}
+}
+
+func (r *replay) runsOf(id model.EndpointID) []*replayedRun {
+	var list []*replayedRun
+	for _, run := range r.running[id] {
+		list = append(list, run)
+	}
+	slices.SortFunc(list, func(a, b *replayedRun) int {
+		return slices.Compare([]byte(a.start.Run.String()), []byte(b.start.Run.String()))
+	})
+	return list
+}
+
+// stopped keeps the work of a stopped run up to its last checkpoint and counts the
+// rest as lost.
+func (r *replay) stopped(run *replayedRun) {
+	ran := r.now.Sub(run.startedAt)
+	saved := time.Duration(0)
+	if run.step.Checkpoints {
+		saved = min(ran.Truncate(replayCheckpoint), run.work)
+	}
+	r.totals.done += run.cores() * saved.Seconds()
+	r.totals.lost += run.cores() * (ran - saved).Seconds()
+	r.remaining[run.start.Run.Task] = run.work - saved + replayRestore
+}
+
+// cores returns the processors that the run takes.
+func (r *replayedRun) cores() float64 { return float64(r.step.Size[model.CPU]) / 1000 }
+
+// execute carries out the plan. Starts and stops are confirmed at once.
+func (r *replay) execute(plan planner.Plan) {
+	for _, q := range plan.AdviceRequests {
+		r.responses = append(r.responses, adviceResponse{request: q, at: r.now.Add(q.Cost)})
+	}
+	for _, start := range plan.Starts {
+		work := r.remaining[start.Run.Task]
+		r.running[start.Endpoint][start.Run] = &replayedRun{
+			start: start, step: &r.Job(start.Run.Task.Job).Steps[start.Run.Task.Step],
+			startedAt: r.now, work: work, endsAt: r.now.Add(work),
+		}
+		r.totals.starts++
+		r.StartConfirmed(start.Run)
+	}
+	for _, stop := range plan.Stops {
+		if run := r.running[stop.Endpoint][stop.Run]; run != nil && run.stopsAt.IsZero() {
+			run.stopsAt = r.now.Add(replayStopTime)
+			r.totals.preempted++
+		}
+		r.StopConfirmed(stop.Run)
+	}
+	for _, outcome := range plan.Outcomes {
+		r.totals.jobs[outcome.Queue][outcome.Timeliness]++
+	}
+}
