--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -33,6 +33,12 @@
 	Saved map[int]string `json:"saved,omitempty"`
 }
 
+// Executed reports whether a task of the step is known to have begun. Live runs do not
+// show it, since they are recorded before their starts are sent.
+func (s *StepProgress) Executed() bool {
+	return s.Complete || len(s.Done) > 0 || len(s.Failures) > 0 || len(s.Crashes) > 0 || len(s.Saved) > 0
+}
+
 // RunRecord is a live run.
 type RunRecord struct {
 	// Task is the index of the task in the step, Number the run's number.
--- a/planner/job.go
+++ b/planner/job.go
@@ -20,6 +20,9 @@
 	// accepted is the time of acceptance on the monotonic clock.
 	accepted time.Time
 	started  bool
+	// executed is set when a task is known to have begun: its start was confirmed, or a
+	// listing has shown it.
+	executed bool
 	outcome  jobs.State
 	reason   string
 	// recordedOutcome is the outcome that a former holder has recorded; empty for none.
@@ -286,6 +289,7 @@
 func (j *job) restore(progress *jobs.Progress) {
 	j.started, j.recordedOutcome = progress.Started, progress.Outcome
 	for _, row := range progress.Steps {
+		j.executed = j.executed || row.Executed()
 		for j.openedOccurrences <= row.Occurrence && j.openedOccurrences < j.OccurrenceCount() {
 			j.openOccurrence()
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -186,12 +186,12 @@
 	return plan
 }
 
-// WaitingByQueue counts by queue the jobs of which no task has started. Scheduled
-// jobs are not counted.
+// WaitingByQueue counts by queue the jobs of which no task is known to have begun: a
+// start that was ordered may not be sent, or be refused. Scheduled jobs are not counted.
 func (p *Planner) WaitingByQueue() map[jobs.QueueName]int {
 	waiting := map[jobs.QueueName]int{}
 	for _, j := range p.jobs {
-		if !j.started && !j.closing() && j.Occurrences == 0 {
+		if !j.executed && !j.closing() && j.Occurrences == 0 {
 			waiting[j.Queue]++
 		}
 	}
--- a/planner/run.go
+++ b/planner/run.go
@@ -129,6 +129,9 @@
 	if event == evConfirm || event == evStopConfirmed || event == evReported || event == evInherit {
 		r.repliedAt = p.now
 	}
+	if event == evConfirm || event == evReported {
+		r.task.step.job.executed = true
+	}
 	if event == evConfirm || event == evReported || event == evInherit || event == evNoResponse && before == runStarting {
 		r.markSent()
 	}
@@ -299,6 +302,7 @@
 	if t == nil {
 		return
 	}
+	t.step.job.executed = true
 	t.setCheckpoint(end.Saved)
 	t.applyEndToCrashes(e, end)
 	var result chart.Event
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -78,6 +78,22 @@
 		Expect(again[0].Run.Number).To(BeNumerically(">", start.Run.Number))
 	})
 
+	// A start that was recorded but not sent before the take-over made its job count as
+	// begun: of 41 waiting jobs 7 were given.
+	It("counts jobs as waiting until one of their tasks is known to have begun", func() {
+		previous := newFixture(1, 1)
+		job := previous.submit("a", batch, single)
+		start := previous.plan().Starts[0]
+		Expect(previous.WaitingByQueue()).To(HaveKeyWithValue(batch, 1))
+
+		f := newFixture(2, 0)
+		f.AddJob(job, previous.progress("a"))
+		f.SetEndpoint(endpointInfo(0))
+		Expect(f.WaitingByQueue()).To(HaveKeyWithValue(batch, 1))
+		f.list("e00", running(start.Run, 10))
+		Expect(f.WaitingByQueue()).To(BeEmpty())
+	})
+
 	// The number of an adopted run was added to those of the epoch, so that a gang left the
 	// range of its epoch: 1, 1002, 3003, 3001, and 3003 again.
 	It("starts gangs again under numbers of its own epoch", func() {
