--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -106,7 +106,7 @@
 	n.addHolder(peerClient)
 	n.view = view.New(platform.Source{}, n.holder, clock.Boot{}, log)
 	n.front = front.New(n.ctx, front.Options{
-		Parts: holder.Parts(s.Table.Parts), View: n.view, Table: n.relayed,
+		Parts: holder.Parts(s.Table.Parts), View: n.view, Table: n.relayed, TableClock: n.table,
 		Clock: clock.Boot{}, Wall: clock.System{}, Log: log,
 	})
 	return n
@@ -118,7 +118,7 @@
 		Node: s.Node.Name, Parts: holder.Parts(s.Table.Parts), MaxLease: s.Cell.MaxLease,
 		StopTime: s.Cell.StopTime, DirectEndpoints: s.Cell.DirectEndpoints,
 	}, holder.Dependencies{
-		Table: n.relayed, Registry: platform.Source{}, Command: n.endpoints, Advice: n.adviceClient,
+		Table: n.relayed, TableClock: n.table, Registry: platform.Source{}, Command: n.endpoints, Advice: n.adviceClient,
 		Instances: n.directory.Others, Peers: peerClient,
 		Clock: clock.Boot{}, Wall: clock.System{}, Log: n.log, Start: n.process.Group().Start,
 	})
--- a/front/front.go
+++ b/front/front.go
@@ -73,6 +73,8 @@
 	Parts holder.Parts
 	View  *view.View
 	Table storage.FeedTable
+	// TableClock dates the holder's rows.
+	TableClock storage.TableClock
 	// Clock is monotonic, Wall is the time of day.
 	Clock, Wall clock.Clock
 	Log         *logging.Logger
@@ -194,6 +196,9 @@
 		queueCalls.Add(string(call.queue.Name)+"/"+kind+"/"+a.Code.String(), 1)
 		attrs = append(attrs, slog.String("queue", string(call.queue.Name)))
 	}
+	if kind == "waiting" && a.Code == result.OK {
+		attrs = append(attrs, slog.Int("waiting", a.Waiting))
+	}
 	if a.State != "" {
 		attrs = append(attrs, slog.String("state", string(a.State)))
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/feed"
 	"github.com/hornbeamworks/hornbeam/front"
+	"github.com/hornbeamworks/hornbeam/holder"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -70,6 +71,11 @@
 	return next.err
 }
 
+// fixedClock is a table's clock that stands still.
+type fixedClock storage.TableTime
+
+func (c fixedClock) TableNow() (storage.TableTime, bool) { return storage.TableTime(c), true }
+
 // fakeDecoder decodes every row to the configuration of these tests.
 type fakeDecoder struct{}
 
@@ -98,7 +104,7 @@
 	v := view.New(fakeDecoder{}, noListener{}, clock.Boot{}, logging.Discard())
 	v.Update(feed.Update{Full: true, Changes: []storage.Change{{}}, RequestedAt: clock.Boot{}.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
-	f := front.New(ctx, front.Options{Parts: 1, View: v, Table: t, Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
+	f := front.New(ctx, front.Options{Parts: 1, View: v, Table: t, TableClock: fixedClock(100_000), Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
 	group := duty.NewGroup(ctx)
 	group.Start(f.Duties()...)
 	DeferCleanup(func() {
@@ -232,7 +238,7 @@
 	It("is answered by its deadline while the table does not answer", func() {
 		v := view.New(fakeDecoder{}, noListener{}, clock.Boot{}, logging.Discard())
 		v.Update(feed.Update{Full: true, Changes: []storage.Change{{}}, RequestedAt: clock.Boot{}.Now()})
-		f := front.New(context.Background(), front.Options{Parts: 1, View: v, Table: stalledTable{}, Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
+		f := front.New(context.Background(), front.Options{Parts: 1, View: v, Table: stalledTable{}, TableClock: fixedClock(0), Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
 		const callers = 4
 		group := duty.NewGroup(context.Background())
 		began := time.Now()
@@ -252,3 +258,27 @@
 		Expect(slowest).To(BeNumerically("<", 2500*time.Millisecond), "the queue's timeout is 2 s")
 	})
 })
+
+var _ = Describe("The number of waiting jobs", func() {
+	ask := func(publishedAt storage.TableTime) front.Answer {
+		t := &scriptedTable{}
+		f := startFront(t)
+		t.rows[holder.QueuesKey] = storage.Encode(holder.Queues{PublishedAt: publishedAt, Waiting: map[jobs.QueueName]int{"q": 7}})
+		return f.State(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/"})
+	}
+
+	It("is given while the holder's row is recent, or has no time", func() {
+		for _, publishedAt := range []storage.TableTime{100_000, 99_000, 0} {
+			answer := ask(publishedAt)
+			Expect(answer.Code).To(Equal(result.OK))
+			Expect(answer.Waiting).To(Equal(7))
+		}
+	})
+
+	// Without a holder, callers got the numbers of seconds ago as if they were current.
+	It("is refused once the holder's row is older than callers may get", func() {
+		answer := ask(97_000)
+		Expect(answer.Code).To(Equal(result.StoreUnavailable))
+		Expect(answer.Reason).To(ContainSubstring("3s old"))
+	})
+})
--- a/front/status.go
+++ b/front/status.go
@@ -25,9 +25,12 @@
 	readerRing = 128
 	// readTimeout bounds the table calls of one read.
 	readTimeout = 1200 * time.Millisecond
-	// queuesMaxAge is how long the numbers of waiting jobs are cached. Callers may
+	// queuesCacheTime is how long the numbers of waiting jobs are cached. Callers may
 	// get numbers that are up to 2 s old, and the holder writes them every 0.7 s.
-	queuesMaxAge = 500 * time.Millisecond
+	queuesCacheTime = 500 * time.Millisecond
+	// queuesMaxAge is the age of the holder's numbers of waiting jobs beyond which they
+	// are not given to callers.
+	queuesMaxAge = 2*time.Second - queuesCacheTime
 	// maxFinalStatuses is the number of final statuses in the cache.
 	maxFinalStatuses = 8192
 )
@@ -138,7 +141,7 @@
 	return status, nil
 }
 
-// queuesCache caches the numbers of waiting jobs for queuesMaxAge.
+// queuesCache caches the numbers of waiting jobs for queuesCacheTime.
 type queuesCache struct {
 	// reads makes callers that arrive during a read share its result. If each made
 	// its own, the last of many would wait for the timeouts of all others.
@@ -150,11 +153,11 @@
 	waiting map[jobs.QueueName]int
 }
 
-// get returns the cached numbers, or nil if they are older than queuesMaxAge.
+// get returns the cached numbers, or nil if they are older than queuesCacheTime.
 func (c *queuesCache) get(now time.Time) map[jobs.QueueName]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.requestedAt) > queuesMaxAge {
+	if now.Sub(c.requestedAt) > queuesCacheTime {
 		return nil
 	}
 	return c.waiting
@@ -203,6 +206,9 @@
 			return queuesRead{refused: f.refuse(result.StoreUnavailable, "the numbers of waiting jobs can't be read")}
 		}
 	}
+	if age, known := f.ageOf(found.PublishedAt); known && age > queuesMaxAge {
+		return queuesRead{refused: f.refuse(result.StoreUnavailable, "the numbers of waiting jobs are "+age.String()+" old")}
+	}
 	if found.Waiting == nil {
 		found.Waiting = map[jobs.QueueName]int{}
 	}
@@ -210,6 +216,15 @@
 	return queuesRead{waiting: found.Waiting}
 }
 
+// ageOf returns the age of what was written at the time; false if it is not known.
+func (f *Front) ageOf(at storage.TableTime) (time.Duration, bool) {
+	now, known := f.TableClock.TableNow()
+	if !known || at == 0 {
+		return 0, false
+	}
+	return time.Duration(now-at) * time.Millisecond, true
+}
+
 // finalStatusCache caches final statuses, which don't change. When it is full, it
 // evicts the oldest entry.
 type finalStatusCache struct {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/catalog"
@@ -18,7 +17,6 @@
 	"github.com/hornbeamworks/hornbeam/election"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/instances"
-	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
@@ -39,8 +37,8 @@
 	decideIntervalRatio = 4
 	// idlePeriod is the duty's wait while another instance holds the cell.
 	idlePeriod = time.Second
-	// queuesPublishPeriod is how often changed numbers of waiting jobs are
-	// published: the numbers that callers get may be up to 2 s old.
+	// queuesPublishPeriod is how often the numbers of waiting jobs are published:
+	// those that callers get may be up to 2 s old.
 	queuesPublishPeriod = 700 * time.Millisecond
 )
 
@@ -61,10 +59,11 @@
 
 // Dependencies contains the dependencies of a holder.
 type Dependencies struct {
-	Table    storage.FeedTable
-	Registry Registry
-	Command  fleet.Commander
-	Advice   AdviceClient
+	Table      storage.FeedTable
+	TableClock storage.TableClock
+	Registry   Registry
+	Command    fleet.Commander
+	Advice     AdviceClient
 	// Instances returns the other instances, Peers calls them.
 	Instances func() []instances.Instance
 	Peers     *peerrpc.Client
@@ -126,7 +125,6 @@
 	// decidedAt is when the planner last ran, decideTime how long that took.
 	decidedAt         time.Time
 	decideTime        time.Duration
-	publishedQueues   map[jobs.QueueName]int
 	queuesPublishedAt time.Time
 	statsLoggedAt     time.Time
 	// inheritedLeaseEnd is the time by which every endpoint lease that a
@@ -249,18 +247,14 @@
 	}
 }
 
-// publishQueues passes the numbers of waiting jobs to the recorder if they have
-// changed.
+// publishQueues passes the numbers of waiting jobs to the recorder, also if they have
+// not changed: their age shows whether a holder decides.
 func (h *Holder) publishQueues() {
 	c := h.cell
 	if h.now.Sub(c.queuesPublishedAt) < queuesPublishPeriod {
 		return
 	}
 	c.queuesPublishedAt = h.now
-	waiting := c.planner.WaitingByQueue()
-	if c.publishedQueues != nil && maps.Equal(waiting, c.publishedQueues) {
-		return
-	}
-	c.publishedQueues = waiting
-	c.recorder.queues = waiting
+	now, _ := h.TableClock.TableNow()
+	c.recorder.queues = &Queues{PublishedAt: now, Waiting: c.planner.WaitingByQueue()}
 }
--- a/holder/oddentries_test.go
+++ b/holder/oddentries_test.go
@@ -75,7 +75,7 @@
 	f.holder = holder.New(ctx, holder.Settings{
 		Node: "n", Parts: 1, MaxLease: 10 * time.Second, StopTime: time.Second, DirectEndpoints: 1000,
 	}, holder.Dependencies{
-		Table: f.table, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: openAdvice{},
+		Table: f.table, TableClock: f.table, Registry: platform.Source{}, Command: platform.NewEndpoints(), Advice: openAdvice{},
 		Instances: func() []instances.Instance { return nil }, Clock: clock.System{}, Wall: clock.System{},
 		Log: logging.Discard(), Start: group.Start,
 	})
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -55,7 +55,7 @@
 	finalState      map[jobs.ID]jobs.State
 	removedAt       map[jobs.ID]time.Time
 	runningRecorded map[jobs.ID]bool
-	queues          map[jobs.QueueName]int
+	queues          *Queues
 	// rosterChanged is set when the roster has to be written.
 	rosterChanged bool
 	// starts contains the starts whose runs are not yet recorded, startsInWrite
@@ -175,7 +175,7 @@
 		writes = append(writes, putRow(rosterKey, rosterRow(h.cell.roster)))
 	}
 	if r.queues != nil {
-		writes = append(writes, putRow(QueuesKey, Queues{Waiting: r.queues}))
+		writes = append(writes, putRow(QueuesKey, r.queues))
 		r.queues = nil
 	}
 	for _, id := range r.jobsToWrite() {
--- a/holder/records.go
+++ b/holder/records.go
@@ -83,6 +83,9 @@
 
 // Queues is the row with the numbers of waiting jobs.
 type Queues struct {
+	// PublishedAt is when the holder counted them; 0 if the time of the table's clock
+	// was not known.
+	PublishedAt storage.TableTime `json:"at,omitempty"`
 	// Waiting is the number of jobs per queue of which no task has started.
 	Waiting map[jobs.QueueName]int `json:"waiting"`
 }
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -69,8 +69,8 @@
 	// endpoint listed and of the last one that is recorded. The endpoint has discarded
 	// the ends up to lastDiscardedEnd.
 	lastListedEnd, lastRecordedEnd, lastDiscardedEnd int64
-	failures                       int
-	nextRenewalAt                  time.Time
+	failures                                         int
+	nextRenewalAt                                    time.Time
 	// missingSince is when the registry entry disappeared; zero while it exists.
 	missingSince time.Time
 	entry        fleet.Endpoint
--- a/storage/feed.go
+++ b/storage/feed.go
@@ -16,6 +16,17 @@
 	ErrHistoryGone = eris.New("table no longer has these changes")
 )
 
+// TableTime is a time of the table's steady clock in milliseconds. All instances see the
+// same clock.
+type TableTime int64
+
+// TableClock estimates the time of the table's clock.
+type TableClock interface {
+	// TableNow returns the time of the table's clock, which is late by at most the time
+	// that a reply takes. It returns false before the first reply.
+	TableNow() (TableTime, bool)
+}
+
 // Snapshot is the result of a Scan.
 type Snapshot struct {
 	// Rows are sorted by key.
