--- a/jobs/job.go
+++ b/jobs/job.go
@@ -4,6 +4,7 @@
 package jobs
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -96,6 +97,28 @@
 // OccurrenceCount returns the number of occurrences: 1 for a job that is not scheduled.
 func (j *Job) OccurrenceCount() int { return max(j.Occurrences, 1) }
 
+// CriticalPath returns the estimated time of the longest chain of dependent
+// steps that begins with the given one.
+func (j *Job) CriticalPath(step int) time.Duration { return j.criticalPaths()[step] }
+
+// LongestPath returns the estimated time of the longest chain of dependent steps.
+func (j *Job) LongestPath() time.Duration { return slices.Max(append(j.criticalPaths(), 0)) }
+
+// criticalPaths returns the critical path of each step. A step depends on earlier ones
+// only, so that one pass from the last step to the first is enough.
+func (j *Job) criticalPaths() []time.Duration {
+	paths := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		paths[i] += j.Steps[i].Estimate
+		for _, before := range j.Steps[i].After {
+			if before >= 0 && before < i {
+				paths[before] = max(paths[before], paths[i])
+			}
+		}
+	}
+	return paths
+}
+
 // State is a job's state as reported to callers.
 type State string
 
--- a/planner/account.go
+++ b/planner/account.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/hornbeamworks/hornbeam/catalog"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
 )
@@ -136,11 +137,11 @@
 			return Untimed
 		}
 	}
-	objective := j.objective(queue)
+	objective := queue.JobObjective(j.Job)
 	switch took := j.p.now.Sub(j.accepted); {
 	case took <= objective:
 		return InTime
-	case took <= overdueFactor*objective:
+	case took <= catalog.OverdueFactor*objective:
 		return Late
 	default:
 		return Overdue
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -422,3 +422,23 @@
 		Expect(order).To(Equal([]jobs.ID{"a", "b", "c", "z", "d"}))
 	})
 })
+
+var _ = Describe("A job whose steps depend on all earlier ones", func() {
+	// The critical path of each step was found by following every chain: 2^63 of them for
+	// this job, so that the holder and each of its successors did nothing else.
+	It("is planned at once", func() {
+		f := newFixture(1, 1)
+		job := &jobs.Job{ID: "a", Team: "red", Queue: batch, Spec: "work", Accepted: f.now.UnixMilli()}
+		for i := range 64 {
+			step := jobs.Step{Count: 1, Size: size(1000, 100), Estimate: time.Second}
+			for before := range i {
+				step.After = append(step.After, before)
+			}
+			job.Steps = append(job.Steps, step)
+		}
+		f.AddJob(job, nil)
+		Expect(f.plan().Starts).To(HaveLen(1))
+		Expect(job.CriticalPath(0)).To(Equal(64 * time.Second))
+		Expect(job.LongestPath()).To(Equal(64 * time.Second))
+	})
+})
--- a/planner/rank.go
+++ b/planner/rank.go
@@ -6,17 +6,9 @@
 	"github.com/hornbeamworks/hornbeam/catalog"
 )
 
-const (
-	// overdueFactor is the multiple of a job's objective after which its
-	// result is of no use to the caller.
-	overdueFactor = 3
-	// estimateSlack is the slack, as a fraction of its estimated time, below
-	// which a step counts as late. Estimates are rough.
-	estimateSlack = 0.25
-	// objectiveAdviceEndpoints is the number of endpoints of the one advice
-	// request per step that a job's objective allows for.
-	objectiveAdviceEndpoints = 30
-)
+// estimateSlack is the slack, as a fraction of its estimated time, below
+// which a step counts as late. Estimates are rough.
+const estimateSlack = 0.25
 
 // urgency divides the waiting steps into classes that are compared before
 // their priorities.
@@ -98,11 +90,11 @@
 		return
 	}
 	start := s.job.occurrenceStart(s.id.Occurrence)
-	objective := s.job.objective(queue)
-	remaining := s.job.criticalPath(s.id.Step)
+	objective := queue.JobObjective(s.job.Job)
+	remaining := s.job.CriticalPath(s.id.Step)
 	s.rank.due = start.Add(objective - remaining)
 	s.lateAt = s.rank.due.Add(-time.Duration(estimateSlack * float64(remaining)))
-	s.overdueAt = start.Add(overdueFactor*objective - remaining)
+	s.overdueAt = start.Add(catalog.OverdueFactor*objective - remaining)
 }
 
 // occurrenceStart returns the time from which an occurrence's objective
@@ -114,28 +106,3 @@
 	age := time.Duration(j.p.wallMillis-j.dueAt(occurrence)) * time.Millisecond
 	return j.p.now.Add(-age)
 }
-
-// objective returns the time within which an occurrence should be complete by the
-// configuration of the job's queue.
-func (j *job) objective(queue *catalog.Queue) time.Duration {
-	adviceTime := queue.Advice.Cost(objectiveAdviceEndpoints)
-	longest := time.Duration(0)
-	for i := range j.Steps {
-		longest = max(longest, j.criticalPath(i)+adviceTime)
-	}
-	return time.Duration(queue.Stretch*float64(longest)) + queue.Objective
-}
-
-// criticalPath returns the estimated time of the longest chain of dependent
-// steps that begins with the given one.
-func (j *job) criticalPath(step int) time.Duration {
-	longest := time.Duration(0)
-	for i := step + 1; i < len(j.Steps); i++ {
-		for _, before := range j.Steps[i].After {
-			if before == step {
-				longest = max(longest, j.criticalPath(i))
-			}
-		}
-	}
-	return j.Steps[step].Estimate + longest
-}
