--- a/holder/commands.go
+++ b/holder/commands.go
@@ -103,7 +103,7 @@
 	if cs.routes == nil || s.failures%2 == 1 {
 		return nil
 	}
-	return cs.remotes[cs.routes.For(s.id, s.entry.Domain)]
+	return cs.remotes[cs.routes.For(s.id, s.domain)]
 }
 
 // flush sends the batches of the remotes. A batch that is not accepted, since the
@@ -133,7 +133,7 @@
 	}
 	inDomain := map[model.DomainName]int{}
 	for _, s := range h.cell.sessions {
-		inDomain[s.entry.Domain]++
+		inDomain[s.domain]++
 	}
 	cs.routes = dispatch.NewRoutes(cs.eligibleInstances(h), inDomain)
 	for _, address := range cs.routes.Addresses() {
@@ -221,9 +221,9 @@
 	if !h.now.Before(r.excludedUntil) {
 		h.Log.Warn("commands_failed", slog.String("instance", r.Address), slog.Int("commands", len(ids)),
 			slog.Bool("sent", sent), slog.Any("error", err))
+		cs.routesStale, cs.routesChosenAt = true, time.Time{}
 	}
 	r.excludedUntil = h.now.Add(remoteExclusion)
-	cs.routesStale, cs.routesChosenAt = true, time.Time{}
 	notSent := map[uint64]bool{}
 	for _, id := range ids {
 		notSent[id] = !sent
--- a/holder/runcommands_test.go
+++ b/holder/runcommands_test.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamworks/hornbeam/catalog"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -179,3 +180,22 @@
 		Expect(p.TakePlan().AdviceRequests).To(HaveLen(1), "a ticket is requested at once")
 	})
 })
+
+var _ = Describe("The first renewals after a take-over", func() {
+	// The registry had not been read, so that the endpoints' domains were not known: the
+	// holder of a large cell sent all renewals itself and did nothing else for 1.7 s.
+	It("are sent through other instances of the endpoints' domains", func(ctx SpecContext) {
+		h := newTestHolder(ctx)
+		h.DirectEndpoints = 1
+		h.addRoster(roster{Endpoints: []rosterEntry{
+			{ID: "e", Address: "10.0.0.1:1", Domain: "d"}, {ID: "f", Address: "10.0.0.2:1", Domain: "d"},
+		}})
+		h.cell.commands.setInstances([]instances.Instance{{Address: "10.0.1.1:1", Domain: "d", CPUShare: 1}})
+		h.cell.commands.updateRoutes(h)
+		h.serveSessions()
+		Expect(h.cell.commands.pending).To(HaveLen(2))
+		for _, p := range h.cell.commands.pending {
+			Expect(p.via).NotTo(BeNil())
+		}
+	})
+})
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -43,8 +43,11 @@
 // session is the holder's state for one endpoint: its lease, its last listing and
 // its registry entry.
 type session struct {
-	id      model.EndpointID
+	id model.EndpointID
+	// address and domain are those of the registry entry, or of the roster until it has
+	// been read.
 	address string
+	domain  model.DomainName
 	// addressUnconfirmed is set when the entry has another address than before
 	// without a later start time, until the endpoint has responded there.
 	addressUnconfirmed bool
@@ -89,9 +92,9 @@
 	return time.Duration(float64(d)*(1+maxClockDrift)) + leaseMargin
 }
 
-func (h *Holder) addSession(id model.EndpointID, address string) *session {
+func (h *Holder) addSession(id model.EndpointID, address string, domain model.DomainName) *session {
 	c := h.cell
-	s := &session{id: id, address: address, leaseEndsBy: c.inheritedLeaseEnd}
+	s := &session{id: id, address: address, domain: domain, leaseEndsBy: c.inheritedLeaseEnd}
 	if _, registered := c.planner.Endpoint(id); !registered {
 		// It gets no work until its registry entry has been read.
 		c.planner.SetEndpoint(fleet.Endpoint{ID: id, Address: address, Leaving: true})
@@ -383,7 +386,7 @@
 	c := h.cell
 	s := c.sessions[entry.ID]
 	if s == nil {
-		s = h.addSession(entry.ID, entry.Address)
+		s = h.addSession(entry.ID, entry.Address, entry.Domain)
 		c.retryRenewalsAt(entry.Address, h.now)
 	}
 	if s.entry.ID == "" || s.entry.Leaving != entry.Leaving || s.entry.Born != entry.Born {
@@ -400,8 +403,8 @@
 	case s.address != "" && s.address != entry.Address:
 		s.addressUnconfirmed = true
 	}
-	c.commands.routesStale = c.commands.routesStale || s.entry.Domain != entry.Domain
-	s.entry, s.address, s.missingSince = entry, entry.Address, time.Time{}
+	c.commands.routesStale = c.commands.routesStale || s.domain != entry.Domain
+	s.entry, s.address, s.domain, s.missingSince = entry, entry.Address, entry.Domain, time.Time{}
 	c.planner.SetEndpoint(entry)
 	if _, listed := c.roster[entry.ID]; !listed {
 		c.roster[entry.ID] = rosterEntry{ID: entry.ID, Address: entry.Address, Domain: entry.Domain}
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -127,10 +127,7 @@
 		c.planner.SetEvacuated(domain, true)
 	}
 	c.inheritedLeaseEnd = h.now.Add(election.LeaseTime - election.VacantTime + h.leaseDurationBound())
-	for _, e := range r.roster.Endpoints {
-		c.roster[e.ID] = e
-		h.addSession(e.ID, e.Address)
-	}
+	h.addRoster(r.roster)
 	c.planner.Restore(r.jobs, r.progress)
 	for id := range r.progress {
 		if r.jobs[id] == nil {
@@ -142,7 +139,7 @@
 		if c.sessions[id] == nil {
 			// The endpoint is not in the roster. Its address is not known, so its
 			// lease has to expire.
-			h.addSession(id, "")
+			h.addSession(id, "", "")
 		}
 	}
 	h.Log.Info("cell_restored", slog.Uint64("epoch", c.epoch), slog.Int("jobs", len(r.jobs)),
@@ -150,6 +147,14 @@
 	h.startDuties(r.feedFrom)
 }
 
+// addRoster adds a session for each endpoint of the former holder's roster.
+func (h *Holder) addRoster(row roster) {
+	for _, e := range row.Endpoints {
+		h.cell.roster[e.ID] = e
+		h.addSession(e.ID, e.Address, e.Domain)
+	}
+}
+
 func (h *Holder) startDuties(from storage.RowVersion) {
 	c := h.cell
 	common := feed.Options{Source: h.Table, Clock: h.Clock, Log: h.Log}
@@ -166,6 +171,9 @@
 	}
 	c.adviceQueue.setInstances(h, h.Instances())
 	c.commands.setInstances(h.Instances())
+	// The first renewals of a large cell would take the instance's processor for seconds
+	// if it sent them itself.
+	c.commands.updateRoutes(h)
 }
 
 // jobsMessage reports accepted and cancelled jobs.
