--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -118,9 +118,15 @@
 	}
 	a.cancel()
 	a.epoch, a.outcomes = epoch, nil
+	if a.waiter != nil {
+		// The former holder must not get outcomes of the new one: the IDs of commands are
+		// unique only within an epoch.
+		a.waiter.reply <- collectReply{err: errStaleEpoch}
+		a.waiter = nil
+	}
 	var ctx context.Context
 	ctx, a.cancel = context.WithCancel(a.ctx)
-	a.executor = NewExecutor(ctx, a.commander, func(d duty.Runner) {
+	a.executor = NewExecutor(ctx, a.commander, a.clock, func(d duty.Runner) {
 		context.AfterFunc(ctx, d.Stop)
 		a.start(d)
 	}, func(d Done) {
@@ -200,6 +206,12 @@
 
 // Send starts the commands of a batch without waiting for their outcomes.
 func (s *service) Send(batch Batch, _ *Empty) error {
+	receivedAt := s.agent.clock.Now()
+	for i, command := range batch.Commands {
+		if command.ValidFor > 0 {
+			batch.Commands[i] = command.Until(receivedAt.Add(command.ValidFor))
+		}
+	}
 	m := batchMessage{Batch: batch, reply: make(chan error, 1)}
 	if err := s.agent.Put(s.agent.ctx, m); err != nil {
 		return err
--- a/dispatch/command.go
+++ b/dispatch/command.go
@@ -27,6 +27,28 @@
 	Start *fleet.Start
 	Stop  *fleet.Stop
 	Renew *fleet.Renewal
+	// ValidFor is how long after its arrival at another instance the command may be sent
+	// to the endpoint; 0 means without limit, as from a holder of an older build.
+	ValidFor time.Duration
+	// validUntil is the time until which it may be sent, on this instance's clock; zero
+	// means without limit.
+	validUntil time.Time
+}
+
+// Until returns the command with the end of the permission to send it: a process may be
+// suspended at any point between the decision and the call.
+func (c Command) Until(t time.Time) Command {
+	c.validUntil = t
+	return c
+}
+
+func (c Command) expired(now time.Time) bool {
+	return !c.validUntil.IsZero() && !now.Before(c.validUntil)
+}
+
+// expiredOutcome is the outcome of a command that was not sent, since it had expired.
+func (c Command) expiredOutcome() Outcome {
+	return Outcome{ID: c.ID, Code: Refused, Reason: "the holder's lease had run out"}
 }
 
 // Timeout returns how long the call may take.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -127,7 +127,7 @@
 	sink := &recordingSink{outcomes: map[uint64]dispatch.Outcome{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	peers := peerrpc.NewClient()
-	r := dispatch.NewRemote(ctx, peers, address, epoch, sink)
+	r := dispatch.NewRemote(ctx, peers, clock.Boot{}, address, epoch, sink)
 	group := duty.NewGroup(ctx)
 	group.Start(r.Duties()...)
 	DeferCleanup(func() {
@@ -186,6 +186,41 @@
 		Expect(commander.started()).To(Equal(1))
 	})
 
+	// The waiting call of the former holder got the outcomes of the new one. It took them
+	// for those of its own commands with the same IDs.
+	It("gives a former holder no outcomes of the new one's commands", func() {
+		address := startAgent(&fakeCommander{})
+		former, formerSink := startRemote(address, 4)
+		Expect(former.Send([]dispatch.Command{startCommand(1, "e")})).To(BeTrue())
+		Eventually(func() bool { _, found := formerSink.outcome(1)(); return found }, waitTimeout).Should(BeTrue())
+		time.Sleep(100 * time.Millisecond) // The former holder's next call for outcomes waits.
+
+		peers := peerrpc.NewClient()
+		defer peers.Close()
+		batch := dispatch.Batch{Epoch: 5, Commands: []dispatch.Command{startCommand(2, "e")}}
+		Expect(peers.Call(context.Background(), address, "Dispatch.Send", batch, &dispatch.Empty{})).To(Succeed())
+		time.Sleep(100 * time.Millisecond) // The outcome has been added.
+		_, sink := startRemote(address, 5)
+		Eventually(func() bool { _, found := sink.outcome(2)(); return found }, waitTimeout).Should(BeTrue())
+		_, found := formerSink.outcome(2)()
+		Expect(found).To(BeFalse())
+	})
+
+	// A process that was suspended between its decision and the call acted on a lease that
+	// had run out meanwhile.
+	It("does not execute commands whose permission has ended", func() {
+		commander := &fakeCommander{}
+		r, sink := startRemote(startAgent(commander), 1)
+		now := clock.Boot{}.Now()
+		Expect(r.Send([]dispatch.Command{startCommand(1, "e").Until(now), startCommand(2, "e").Until(now.Add(time.Hour))})).To(BeTrue())
+		for _, id := range []uint64{1, 2} {
+			Eventually(func() bool { _, found := sink.outcome(id)(); return found }, waitTimeout).Should(BeTrue())
+		}
+		expired, _ := sink.outcome(1)()
+		Expect(eris.Is(expired.Err(), fleet.ErrRefused)).To(BeTrue())
+		Expect(commander.started()).To(Equal(1))
+	})
+
 	It("has received no commands when it is unreachable", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -230,3 +265,30 @@
 		Expect(dispatch.NewRoutes(nil, endpointCounts(100)).For("e", "north")).To(BeEmpty())
 	})
 })
+
+var _ = Describe("An executor", func() {
+	It("does not call an endpoint once the permission has ended", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		group := duty.NewGroup(ctx)
+		commander := &fakeCommander{}
+		done := make(chan dispatch.Done, 2)
+		executor := dispatch.NewExecutor(ctx, commander, clock.Boot{}, func(d duty.Runner) {
+			context.AfterFunc(ctx, d.Stop)
+			group.Start(d)
+		}, func(d dispatch.Done) { done <- d })
+		DeferCleanup(func() {
+			cancel()
+			Expect(group.Wait()).To(Succeed())
+		})
+		Expect(executor.Execute(startCommand(1, "e").Until(clock.Boot{}.Now()))).To(BeTrue())
+		Expect(executor.Execute(startCommand(2, "e").Until(clock.Boot{}.Now().Add(time.Hour)))).To(BeTrue())
+		outcomes := map[uint64]error{}
+		for range 2 {
+			d := <-done
+			outcomes[d.ID] = d.Err()
+		}
+		Expect(eris.Is(outcomes[1], fleet.ErrRefused)).To(BeTrue())
+		Expect(outcomes[2]).NotTo(HaveOccurred())
+		Expect(commander.started()).To(Equal(1))
+	})
+})
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/fleet"
 )
@@ -28,6 +29,7 @@
 type Executor struct {
 	ctx       context.Context
 	commander fleet.Commander
+	clock     clock.Clock
 	start     func(duty.Runner)
 	done      func(Done)
 	threads   int
@@ -36,8 +38,8 @@
 
 // NewExecutor returns an Executor without threads. Cancelling ctx ends its calls.
 // start runs a duty; done is called on the thread that made the call.
-func NewExecutor(ctx context.Context, commander fleet.Commander, start func(duty.Runner), done func(Done)) *Executor {
-	return &Executor{ctx: ctx, commander: commander, start: start, done: done}
+func NewExecutor(ctx context.Context, commander fleet.Commander, c clock.Clock, start func(duty.Runner), done func(Done)) *Executor {
+	return &Executor{ctx: ctx, commander: commander, clock: c, start: start, done: done}
 }
 
 // Execute hands the command to an idle thread. It returns false when too many calls
@@ -74,8 +76,11 @@
 	return true
 }
 
-// call executes the command. It runs on the thread of a callThread.
+// call executes the command, unless it has expired. It runs on the thread of a callThread.
 func (c *Executor) call(command Command) Outcome {
+	if command.expired(c.clock.Now()) {
+		return command.expiredOutcome()
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, command.Timeout())
 	defer cancel()
 	switch {
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/peerrpc"
 )
@@ -39,6 +40,7 @@
 	Address   string
 	ctx       context.Context
 	peers     *peerrpc.Client
+	clock     clock.Clock
 	epoch     uint64
 	sink      Sink
 	sender    *duty.Duty[[]Command]
@@ -47,8 +49,8 @@
 
 // NewRemote returns a Remote for the instance at the peer address. Cancelling ctx
 // ends its calls.
-func NewRemote(ctx context.Context, peers *peerrpc.Client, address string, epoch uint64, sink Sink) *Remote {
-	r := &Remote{Address: address, ctx: ctx, peers: peers, epoch: epoch, sink: sink}
+func NewRemote(ctx context.Context, peers *peerrpc.Client, c clock.Clock, address string, epoch uint64, sink Sink) *Remote {
+	r := &Remote{Address: address, ctx: ctx, peers: peers, clock: c, epoch: epoch, sink: sink}
 	r.sender = duty.NewCalling("commands", senderRing, duty.HandlerFunc[[]Command](r.send))
 	r.collector = duty.NewCalling("outcomes", 1, duty.HandlerFunc[struct{}](r.collect))
 	return r
@@ -64,7 +66,10 @@
 	if len(batches) == 0 {
 		return duty.Never
 	}
-	all := slices.Concat(batches...)
+	all := r.valid(slices.Concat(batches...))
+	if len(all) == 0 {
+		return duty.Never
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, peerTimeout)
 	defer cancel()
 	err := r.peers.Call(ctx, r.Address, sendMethod, Batch{Epoch: r.epoch, Commands: all}, &Empty{})
@@ -78,6 +83,28 @@
 	return duty.Never
 }
 
+// valid returns the commands that may still be sent, with the time that is left to them,
+// and reports the others as refused.
+func (r *Remote) valid(commands []Command) []Command {
+	now := r.clock.Now()
+	var valid []Command
+	var expired []Outcome
+	for _, command := range commands {
+		if command.expired(now) {
+			expired = append(expired, command.expiredOutcome())
+			continue
+		}
+		if !command.validUntil.IsZero() {
+			command.ValidFor = command.validUntil.Sub(now)
+		}
+		valid = append(valid, command)
+	}
+	if len(expired) > 0 {
+		r.sink.Collected(r, expired)
+	}
+	return valid
+}
+
 func (r *Remote) collect([]struct{}) time.Duration {
 	if r.ctx.Err() != nil {
 		return duty.Never
--- a/holder/commands.go
+++ b/holder/commands.go
@@ -68,7 +68,7 @@
 func newCommands(h *Holder) *commands {
 	c := h.cell
 	cs := &commands{pending: map[uint64]pendingCommand{}, remotes: map[string]*remote{}}
-	cs.sender = dispatch.NewExecutor(c.ctx, h.Command, func(d duty.Runner) { c.start(h, d) }, func(d dispatch.Done) {
+	cs.sender = dispatch.NewExecutor(c.ctx, h.Command, h.Clock, func(d duty.Runner) { c.start(h, d) }, func(d dispatch.Done) {
 		h.post(commandDoneMessage{epoch: c.epoch, done: d})
 	})
 	return cs
@@ -86,6 +86,7 @@
 	cs := h.cell.commands
 	cs.lastID++
 	command.ID = cs.lastID
+	command = command.Until(h.actUntil)
 	p := pendingCommand{command: command, session: s, sentAt: h.now, expiresAt: h.now.Add(command.Timeout() + remoteAllowance), via: cs.remoteFor(s)}
 	if p.via != nil {
 		p.via.batch = append(p.via.batch, command)
@@ -167,7 +168,7 @@
 		return
 	}
 	c := h.cell
-	r := &remote{Remote: dispatch.NewRemote(c.ctx, h.Peers, address, c.epoch, remoteSink{h: h, epoch: c.epoch})}
+	r := &remote{Remote: dispatch.NewRemote(c.ctx, h.Peers, h.Clock, address, c.epoch, remoteSink{h: h, epoch: c.epoch})}
 	cs.remotes[address] = r
 	for _, d := range r.Duties() {
 		c.start(h, d)
