--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -42,8 +42,9 @@
 	state chart.State
 	// unavailable is set while the table does not respond; callers' threads read it.
 	unavailable atomic.Bool
-	// unavailableSince is when it stopped responding, in nanoseconds of the front's clock.
-	unavailableSince atomic.Int64
+	// failingSince is when the first write failed since one has taken effect, in nanoseconds
+	// of the front's clock; 0 for none. The table may answer probes and refuse writes.
+	failingSince atomic.Int64
 	nextProbe        time.Time
 }
 
@@ -70,17 +71,17 @@
 }
 
 func (w *submissionWriter) markUnavailable() {
-	w.unavailableSince.Store(w.f.Clock.Now().UnixNano())
 	w.unavailable.Store(true)
 	w.f.Log.Warn("table_lost", slog.String("lane", w.Name()))
 }
 
-// outage returns how long the table has not responded; 0 while it does.
+// outage returns how long writes have failed; 0 while they take effect.
 func (w *submissionWriter) outage() time.Duration {
-	if !w.unavailable.Load() {
+	since := w.failingSince.Load()
+	if since == 0 {
 		return 0
 	}
-	return time.Duration(w.f.Clock.Now().UnixNano() - w.unavailableSince.Load())
+	return time.Duration(w.f.Clock.Now().UnixNano() - since)
 }
 
 func (w *submissionWriter) markAvailable() {
@@ -206,6 +207,11 @@
 		}
 		ambiguous = true
 	}
+	if err == nil || eris.Is(err, storage.ErrConflict) {
+		w.failingSince.Store(0)
+	} else {
+		w.failingSince.CompareAndSwap(0, w.f.Clock.Now().UnixNano())
+	}
 	switch {
 	case err == nil:
 		w.fire(evReply)
