--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -45,7 +45,7 @@
 	// failingSince is when the first write failed since one has taken effect, in nanoseconds
 	// of the front's clock; 0 for none. The table may answer probes and refuse writes.
 	failingSince atomic.Int64
-	nextProbe        time.Time
+	nextProbe    time.Time
 }
 
 var tableChart *chart.Machine[submissionWriter]
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -250,6 +250,9 @@
 	if job.ID != jobIDOf(row.Key) {
 		return nil, eris.New("the job ID does not match the row key")
 	}
+	if problem := job.Problem(); problem != "" {
+		return nil, eris.New(problem)
+	}
 	return &job, nil
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -104,12 +104,16 @@
 // LongestPath returns the estimated time of the longest chain of dependent steps.
 func (j *Job) LongestPath() time.Duration { return slices.Max(append(j.criticalPaths(), 0)) }
 
+// maxPath bounds the estimated time of a chain of steps, so that multiples of it do not
+// overflow.
+const maxPath = 365 * 24 * time.Hour
+
 // criticalPaths returns the critical path of each step. A step depends on earlier ones
 // only, so that one pass from the last step to the first is enough.
 func (j *Job) criticalPaths() []time.Duration {
 	paths := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		paths[i] += j.Steps[i].Estimate
+		paths[i] = min(paths[i]+j.Steps[i].Estimate, maxPath)
 		for _, before := range j.Steps[i].After {
 			if before >= 0 && before < i {
 				paths[before] = max(paths[before], paths[i])
--- a/planner/run.go
+++ b/planner/run.go
@@ -285,10 +285,10 @@
 	}
 	j.openDueOccurrences()
 	s := j.step(id.Occurrence, id.Step)
-	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+	if s == nil {
 		return nil
 	}
-	return s.tasks[id.Index]
+	return s.taskAt(id.Index)
 }
 
 // applyEnd applies the end of a run. The run may have been started by a
--- a/planner/step.go
+++ b/planner/step.go
@@ -290,18 +290,18 @@
 
 func (s *step) restore(row jobs.StepProgress) {
 	for i, numbers := range row.Failures {
-		if i < len(s.tasks) {
-			s.tasks[i].failedRuns = numbers
+		if t := s.taskAt(i); t != nil {
+			t.failedRuns = numbers
 		}
 	}
 	for i, crashes := range row.Crashes {
-		if i < len(s.tasks) {
-			s.tasks[i].crashes = crashes
+		if t := s.taskAt(i); t != nil {
+			t.crashes = crashes
 		}
 	}
 	for i, saved := range row.Saved {
-		if i < len(s.tasks) {
-			s.tasks[i].lastCheckpoint = saved
+		if t := s.taskAt(i); t != nil {
+			t.lastCheckpoint = saved
 		}
 	}
 	if row.Complete {
@@ -309,17 +309,25 @@
 		return
 	}
 	for _, record := range row.Runs {
-		if record.Task < len(s.tasks) {
-			s.job.p.inherit(s.tasks[record.Task], record)
+		if t := s.taskAt(record.Task); t != nil {
+			s.job.p.inherit(t, record)
 		}
 	}
 	for _, i := range row.Done {
-		if i < len(s.tasks) {
-			s.tasks[i].fire(evTaskSucceed)
+		if t := s.taskAt(i); t != nil {
+			t.fire(evTaskSucceed)
 		}
 	}
 }
 
+// taskAt returns the task with the index; nil if there is none.
+func (s *step) taskAt(index int) *task {
+	if index < 0 || index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[index]
+}
+
 func (s *step) completeAll() {
 	for _, t := range s.tasks {
 		if s.state == stepComplete {
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -78,6 +78,20 @@
 		Expect(again[0].Run.Number).To(BeNumerically(">", start.Run.Number))
 	})
 
+	// A negative index ended the process of the successor, and of each one after it.
+	It("restores progress without what names no task", func() {
+		progress := &jobs.Progress{Steps: []jobs.StepProgress{
+			{
+				Done: []int{-1, 9}, Failures: map[int][]int{-3: {1}}, Saved: map[int]string{-1: "x"},
+				Crashes: map[int][]jobs.Crash{-1: {{Number: 1}}}, Runs: []jobs.RunRecord{{Task: -2, Number: 1, Endpoint: "e00"}},
+			},
+			{Occurrence: -4, Step: -4}, {Step: 8, Done: []int{0}},
+		}}
+		f := newFixture(2, 1)
+		f.AddJob(&jobs.Job{ID: "a", Team: "red", Queue: batch, Steps: []jobs.Step{single}}, progress)
+		Expect(f.plan().Starts).To(HaveLen(1))
+	})
+
 	// A start that was recorded but not sent before the take-over made its job count as
 	// begun: of 41 waiting jobs 7 were given.
 	It("counts jobs as waiting until one of their tasks is known to have begun", func() {
