--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -43,6 +43,9 @@
 	writing     bool
 	lastWriteAt time.Time
 	changed     map[jobs.ID]bool
+	// order is the order in which the jobs with changes were found, from lastOrder down.
+	order     map[jobs.ID]uint64
+	lastOrder uint64
 	// removed contains the jobs that have ended and have no live runs. The cleaner
 	// deletes their rows; then they are in jobRowsDeleted, and their progress rows
 	// are deleted.
@@ -88,6 +91,7 @@
 	return &recorder{
 		writer:          w,
 		changed:         map[jobs.ID]bool{},
+		order:           map[jobs.ID]uint64{},
 		removed:         map[jobs.ID]bool{},
 		jobRowsDeleted:  map[jobs.ID]bool{},
 		finalStatus:     map[jobs.ID]jobs.Status{},
@@ -205,6 +209,7 @@
 // jobWrites returns the writes for one job.
 func (r *recorder) jobWrites(h *Holder, id jobs.ID) []storage.Write {
 	var writes []storage.Write
+	delete(r.order, id)
 	if status, decided := r.finalStatus[id]; decided {
 		writes = append(writes, putRow(OutcomeKey(id), status))
 		delete(r.finalStatus, id)
@@ -257,7 +262,8 @@
 	return row
 }
 
-// jobsToWrite returns the jobs with changes to write, in the order of their IDs.
+// jobsToWrite returns the jobs with changes to write, those that have waited longest
+// first: while the table is slow there are more than fit into a write.
 func (r *recorder) jobsToWrite() []jobs.ID {
 	all := map[jobs.ID]bool{}
 	for _, set := range []map[jobs.ID]bool{r.changed, r.removed, r.jobRowsDeleted} {
@@ -273,6 +279,13 @@
 		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+	for _, id := range ids {
+		if r.order[id] == 0 {
+			r.lastOrder++
+			r.order[id] = r.lastOrder
+		}
+	}
+	sort.Slice(ids, func(i, k int) bool { return r.order[ids[i]] < r.order[ids[k]] })
 	return ids
 }
 
