--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 1
 SECONDS ?= 15
 
-.PHONY: soak cost build demo capacity test check unit bench clean
+.PHONY: known-red regress soak cost build demo capacity test check unit bench clean
 
 build:
 	@mkdir -p bin
@@ -21,7 +21,7 @@
 	@scripts/capacity.sh
 	bin/hornbeam-capacity --runs out/capacity --page docs/CAPACITY.md --plots docs/capacity
 
-test: check unit
+test: check unit known-red
 
 check:
 	@scripts/check-shape.sh
@@ -32,6 +32,12 @@
 unit:
 	$(GO) test -race -count=1 -timeout 8m ./...
 
+known-red:
+	@scripts/known-red.sh
+
+regress:
+	@scripts/regress.sh
+
 soak:
 	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -timeout 2h ./integration/soak
 
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -149,11 +149,12 @@
 			Expect(err).To(HaveOccurred())
 			Expect(d.Load()).To(BeNil())
 		},
+		Entry("no capacity", admission.Load{}),
 		Entry("a negative capacity", admission.Load{Capacity: -1}),
 		Entry("a capacity beyond all processors", admission.Load{Capacity: 1 << 62}),
-		Entry("negative work", admission.Load{Queues: map[jobs.QueueName]admission.QueueLoad{urgent: {Late: -1}}}),
-		Entry("work beyond all processors", admission.Load{Queues: map[jobs.QueueName]admission.QueueLoad{urgent: {InTime: 1 << 62}}}),
-		Entry("a negative endpoint", admission.Load{Largest: map[catalog.ServiceName]model.Resources{"cook": {model.CPU: -5}}}),
+		Entry("negative work", admission.Load{Capacity: 1, Queues: map[jobs.QueueName]admission.QueueLoad{urgent: {Late: -1}}}),
+		Entry("work beyond all processors", admission.Load{Capacity: 1, Queues: map[jobs.QueueName]admission.QueueLoad{urgent: {InTime: 1 << 62}}}),
+		Entry("a negative endpoint", admission.Load{Capacity: 1, Largest: map[catalog.ServiceName]model.Resources{"cook": {model.CPU: -5}}}),
 	)
 })
 
--- a/admission/load.go
+++ b/admission/load.go
@@ -11,7 +11,7 @@
 
 // Load is the load of the cell at one time.
 type Load struct {
-	// Capacity is the processor capacity of the endpoints that starts may be sent to, in
+	// Capacity is the processor capacity of the registered endpoints that stay, in
 	// thousandths of a processor.
 	Capacity int64 `json:"capacity"`
 	// Largest is, of each resource, the largest capacity of an endpoint of each service
@@ -33,9 +33,10 @@
 	Surplus int64 `json:"surplus,omitempty"`
 }
 
-// valid reports whether the figures can be those of a cell.
+// valid reports whether the figures can be those of a cell. A new holder knows of no
+// capacity until it has read the registry.
 func (l *Load) valid() bool {
-	if l.Capacity < 0 || l.Capacity > model.MaxAmount {
+	if l.Capacity <= 0 || l.Capacity > model.MaxAmount {
 		return false
 	}
 	for _, q := range l.Queues {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -256,5 +256,9 @@
 	}
 	c.queuesPublishedAt = h.now
 	now, _ := h.TableClock.TableNow()
-	c.recorder.queues = &Queues{PublishedAt: now, Waiting: c.planner.WaitingByQueue(), Load: c.planner.Load()}
+	c.recorder.queues = &Queues{PublishedAt: now, Waiting: c.planner.WaitingByQueue()}
+	if load := c.planner.Load(); load.Capacity > 0 {
+		// Before the registry has been read, no capacity is known.
+		c.recorder.queues.Load = load
+	}
 }
--- a/planner/load.go
+++ b/planner/load.go
@@ -9,11 +9,12 @@
 	"github.com/hornbeamworks/hornbeam/model"
 )
 
-// Load returns the load of the cell, for decisions on new jobs.
+// Load returns the load of the cell, for decisions on new jobs. Endpoints that have not
+// been listed yet, or do not respond for a moment, count: they may run a new job.
 func (p *Planner) Load() *admission.Load {
 	load := &admission.Load{Largest: maps.Clone(p.largest), Queues: map[jobs.QueueName]admission.QueueLoad{}}
 	for _, e := range p.endpoints {
-		if e.usable() && !p.evacuated[e.Domain] {
+		if e.Service != "" && !e.Leaving && e.state != endpointLapsed && !p.evacuated[e.Domain] {
 			load.Capacity += e.Capacity[model.CPU]
 		}
 	}
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -108,6 +108,19 @@
 		Expect(f.WaitingByQueue()).To(BeEmpty())
 	})
 
+	// All jobs were refused just after a take-over, since no endpoint had been listed.
+	It("counts the capacity of endpoints that it has not listed yet", func() {
+		f := newFixture(2, 0)
+		f.SetEndpoint(fleet.Endpoint{ID: "e00", Leaving: true})
+		Expect(f.Load().Capacity).To(BeZero(), "its entry has not been read")
+		f.SetEndpoint(endpointInfo(0))
+		Expect(f.Load().Capacity).To(BeEquivalentTo(16000))
+		f.EndpointUnresponsive("e00")
+		Expect(f.Load().Capacity).To(BeEquivalentTo(16000))
+		f.EndpointLapsed("e00")
+		Expect(f.Load().Capacity).To(BeZero())
+	})
+
 	// The number of an adopted run was added to those of the epoch, so that a gang left the
 	// range of its epoch: 1, 1002, 3003, 3001, and 3003 again.
 	It("starts gangs again under numbers of its own epoch", func() {
