--- a/admission/doc.go
+++ b/admission/doc.go
@@ -4,10 +4,10 @@
 //
 // Each decision answers a pattern of load:
 //
-//   - Impossible answers jobs that no endpoint, or no limit of their team, can ever hold.
-//   - Wait answers crowds, sustained overload and the loss of endpoints: a backlog that
-//     takes longer to serve than the job's result is of use.
-//   - Load.surplus answers a team that floods: what it sends beyond its weight waits
-//     behind all other work, so that its own jobs are refused first.
-//   - RetryAfter answers outages and the return of many callers at the same time.
+//   - ExceedsEndpoint and ExceedsLimit answer jobs that can never run.
+//   - Backlog answers crowds, sustained overload and the loss of endpoints: what is served
+//     before the job takes longer than its result is of use.
+//   - OverWeight answers a team that floods: what it sends beyond its weight waits behind
+//     all other work, so that its own jobs are refused first.
+//   - RetryAfter answers outages, and the return of many callers at the same time.
 package admission
