--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -44,8 +44,8 @@
 	// discard the ends of the new incarnation, which had the same numbers as ends
 	// that were recorded already.
 	105,
-	// Tasks of a job that was accepted as an endpoint crashed were started again after
-	// their ends had been listed; not traced.
+	// A renewal that acknowledged ends reached a new incarnation of an endpoint, which
+	// discarded its own ends while the renewal waited; their tasks were started again.
 	345,
 }
 
