--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -47,6 +47,9 @@
 	// A renewal that acknowledged ends reached a new incarnation of an endpoint, which
 	// discarded its own ends while the renewal waited; their tasks were started again.
 	345,
+	// The simulated endpoint executed a start of before its restart, which it had left
+	// unanswered; the holder had had it stopped before the restart.
+	413,
 }
 
 // seeds returns the seeds to run: the regressions, SOAK_SEED and the SOAK_SEEDS-1
