--- a/admission/admission.go
+++ b/admission/admission.go
@@ -49,7 +49,7 @@
 // Code returns the result code of the refusal.
 func (r *Refusal) Code() result.Code { return codes[r.Cause] }
 
-// Decision is what one front knows of the load. It belongs to one thread.
+// Decision holds the load as one front has read it. It belongs to one thread.
 type Decision struct {
 	state chart.State
 	load  *Load
--- a/admission/load.go
+++ b/admission/load.go
@@ -33,7 +33,7 @@
 	Surplus int64 `json:"surplus,omitempty"`
 }
 
-// valid reports whether the figures can be those of a cell. A new holder knows of no
+// valid reports whether the figures can be those of a cell. A new holder counts no
 // capacity until it has read the registry.
 func (l *Load) valid() bool {
 	if l.Capacity <= 0 || l.Capacity > model.MaxAmount {
