--- a/front/load.go
+++ b/front/load.go
@@ -151,6 +151,12 @@
 		// It is not known whether an earlier try was accepted.
 		return found.answer
 	}
+	f.recordRefusal(job, refusal, load, added, age)
+	return &Answer{Code: refusal.Code(), Reason: reasonOf(refusal), RetryAfter: refusal.RetryAfter}
+}
+
+// recordRefusal counts the refusal, and logs it with the figures that led to it.
+func (f *Front) recordRefusal(job *jobs.Job, refusal *admission.Refusal, load *admission.Load, added map[jobs.QueueName]int64, age time.Duration) {
 	refusals.Add(string(job.Queue)+"/"+string(job.Team)+"/"+string(refusal.Cause), 1)
 	attrs := []slog.Attr{
 		slog.String("id", string(job.ID)), slog.String("queue", string(job.Queue)), slog.String("team", string(job.Team)),
@@ -161,7 +167,6 @@
 		attrs = append(attrs, slog.Int64("capacity", load.Capacity), slog.Any("queues", load.Queues), slog.Any("added", added))
 	}
 	f.Log.Info("job_refused", attrs...)
-	return &Answer{Code: refusal.Code(), Reason: reasonOf(refusal), RetryAfter: refusal.RetryAfter}
 }
 
 // reasonOf returns the reason that a caller gets.
