Review case 4: a machine that wakes sends starts whose permission has ended

An instance that sends commands for the holder counts their validity from when it reads them. After a freeze it sends starts that the holder has given up, and a worker that has restarted since runs the task a second time.

--- a/review/scenario/worker.go
+++ b/review/scenario/worker.go
@@ -28,7 +28,8 @@
 	number            int
 	cpu               int64
 	began, ended      time.Time
-	// noted is set when the end was acknowledged.
+	// noted is set when the end was acknowledged and the worker's lease had not expired
+	// since the end.
 	noted time.Time
 }
 
@@ -56,10 +57,12 @@
 	r.record.add("%s run %d ends on %s: %s", run.task, run.number, run.worker, how)
 }
 
-func (r *runs) note(run *taskRun) {
+func (r *runs) note(run *taskRun, lapsedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	run.noted = time.Now()
+	if lapsedAt.Before(run.ended) {
+		run.noted = time.Now()
+	}
 }
 
 // snapshot returns copies of all runs.
@@ -99,6 +102,7 @@
 	clockStart time.Time
 	fence      uint64
 	leaseEnd   int64
+	lapsedAt   time.Time
 	running    map[string]*liveRun
 	highest    map[string]int
 	ended      []endRow
@@ -333,6 +337,7 @@
 	if w.leaseEnd == 0 || w.clock() < w.leaseEnd {
 		return
 	}
+	w.lapsedAt = time.Now()
 	for key, r := range w.running {
 		w.end(key, r, "lapsed")
 	}
@@ -360,7 +365,7 @@
 	defer w.mu.Unlock()
 	w.extend(o.Deadline)
 	for len(w.ended) > 0 && w.ended[0].number <= o.LastSeen {
-		w.s.runs.note(w.ended[0].run)
+		w.s.runs.note(w.ended[0].run, w.lapsedAt)
 		w.ended = w.ended[1:]
 	}
 	born, until := w.born, time.Now().Add(time.Duration(o.Wait)*time.Millisecond)
