--- a/review/scenario/stale.go
+++ b/review/scenario/stale.go
@@ -79,12 +79,28 @@
 	return twice(s), nil
 }
 
-// other returns an instance that does not hold the cell, by the lease row in the store.
+// other returns an instance that does not hold the cell.
 func (s *site) other(turn int) (*node, error) {
-	response, err := http.Get("http://" + s.table.Address + "/v1/rows-get?table=holder&part=lease")
+	holder, err := s.holder()
 	if err != nil {
 		return nil, err
 	}
+	var others []*node
+	for _, n := range s.nodes {
+		if n.name != holder {
+			others = append(others, n)
+		}
+	}
+	return others[turn%len(others)], nil
+}
+
+// holder returns the name of the instance that holds the cell, by the lease row in the
+// store.
+func (s *site) holder() (string, error) {
+	response, err := http.Get("http://" + s.table.Address + "/v1/rows-get?table=holder&part=lease")
+	if err != nil {
+		return "", err
+	}
 	defer func() { _ = response.Body.Close() }()
 	var page struct {
 		Rows []struct {
@@ -95,18 +111,12 @@
 		Node string `json:"node"`
 	}
 	if err := json.NewDecoder(response.Body).Decode(&page); err != nil || len(page.Rows) != 1 {
-		return nil, fmt.Errorf("no lease row: %v", err)
+		return "", fmt.Errorf("no lease row: %v", err)
 	}
 	if err := json.Unmarshal(page.Rows[0].Value, &lease); err != nil {
-		return nil, err
+		return "", err
 	}
-	var others []*node
-	for _, n := range s.nodes {
-		if n.name != lease.Node {
-			others = append(others, n)
-		}
-	}
-	return others[turn%len(others)], nil
+	return lease.Node, nil
 }
 
 // crashSome crashes a share of the workers, each of which starts again under the same id.
--- a/review/scenario/worker.go
+++ b/review/scenario/worker.go
@@ -92,6 +92,7 @@
 	s          *site
 	id         string
 	rack       string
+	kind       string
 	address    string
 	generation int
 
@@ -130,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{s: s, id: id, rack: rack, address: address}
+	w := &worker{s: s, id: id, rack: rack, kind: "a", address: address}
 	w.behave = func(string) (time.Duration, string) { return 800 * time.Millisecond, "done" }
 	s.group.Serve(func(ctx context.Context) error {
 		w.heartbeats(ctx)
@@ -216,7 +217,7 @@
 	w.seq++
 	return map[string]any{
 		"service": "recipe-svc", "addr": w.address, "zone": "north", "version": "1", "slots": 8, "state": "ready",
-		"cold-left-ms": 0, "seq": w.seq, "born": w.born, "labels": []string{"a", w.rack},
+		"cold-left-ms": 0, "seq": w.seq, "born": w.born, "labels": []string{w.kind, w.rack},
 		"capacity": map[string]any{"cpu": 16000, "mem-mb": 65536, "gpu": 0},
 	}
 }
