--- a/review/scenario/worker.go
+++ b/review/scenario/worker.go
@@ -127,11 +127,11 @@
 }
 
 func newWorker(s *site, id, rack string) (*worker, error) {
-	address, err := freeAddress()
+	addresses, err := freeAddresses(1)
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{s: s, id: id, rack: rack, kind: "a", address: address}
+	w := &worker{s: s, id: id, rack: rack, kind: "a", address: addresses[0]}
 	w.behave = func(string) (time.Duration, string) { return 800 * time.Millisecond, "done" }
 	s.group.Serve(func(ctx context.Context) error {
 		w.heartbeats(ctx)
@@ -166,6 +166,15 @@
 	return nil
 }
 
+// reboot starts the worker again after the given time. It retries while another socket
+// uses the address.
+func (w *worker) reboot(ctx context.Context, down time.Duration) {
+	sleep(ctx, down)
+	for ctx.Err() == nil && w.boot() != nil {
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
+
 // crash ends the worker without a word: everything that runs on it ends, and what it
 // knows is gone.
 func (w *worker) crash() {
