--- a/review/scenario/numbers.go
+++ b/review/scenario/numbers.go
@@ -31,8 +31,9 @@
 	down        = 3 * time.Second
 )
 
-// reusedNumbers runs a service on the only worker with a label. Its tasks fail for a while and then run well. Then the
-// instance that holds the cell is killed, and some seconds later each task ends once.
+// reusedNumbers runs a service on the only worker with a label. Its tasks fail for a
+// while and then run well. Then the instance that holds the cell is killed, and some
+// seconds later each task ends once.
 func reusedNumbers(ctx context.Context, r *record, trouble bool) ([]string, error) {
 	s, err := startSite(ctx, r, 3, 48, config(1, map[string]any{}), nil)
 	if s != nil {
