--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -30,10 +29,10 @@
 
 func play() int {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: scenario CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: scenario CASE RECORD")
 		return exitNotRun
 	}
-	r, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	r, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/scenario/record.go
+++ b/review/scenario/record.go
@@ -3,18 +3,17 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"os"
 	"sync"
 	"time"
 )
 
-// record is the record.txt of a case: one line for each thing sent, answered or run.
+// record is the record.txt of a case: one line for each thing sent, answered or run. Each
+// line is written at once, so that it is kept if the case is ended from outside.
 type record struct {
 	mu      sync.Mutex
 	file    *os.File
-	out     *bufio.Writer
 	startAt time.Time
 }
 
@@ -23,19 +22,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, out: bufio.NewWriter(file), startAt: time.Now()}, nil
+	return &record{file: file, startAt: time.Now()}, nil
 }
 
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%9.3f ", time.Since(r.startAt).Seconds())
-	fmt.Fprintf(r.out, format+"\n", args...)
+	fmt.Fprintf(r.file, "%9.3f %s\n", time.Since(r.startAt).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = r.out.Flush()
 	_ = r.file.Close()
 }
