Keep the IDs of removed jobs until the feed can't show their rows

Callers saw completed jobs run again: their tasks started once more and their results were overwritten, half a minute after they had been told of the end.

Cause: the holder kept the ID of a removed job for 30 s. The job's row is deleted later, by a duty that pauses while the table is slow. When the table discards its history, the feed reads all rows again, and the rows of jobs that had been forgotten were taken for new jobs.

Change: an ID is kept until the deletion of the job's row is confirmed and the feed has applied a version that includes it. There is no time limit. The line `jobs_read_again` tells how many removed jobs a read of all rows may contain.

--- a/holder/cleaner.go
+++ b/holder/cleaner.go
@@ -81,7 +81,7 @@
 		txn.Writes = append(txn.Writes, deleteRow(c.h.Parts.Key(JobsTable, id)))
 	}
 	startedAt := c.h.Clock.Now()
-	err := c.h.Table.Commit(ctx, txn)
+	version, err := c.h.Table.Write(ctx, txn)
 	now := c.h.Clock.Now()
 	c.nextCleanAt = now.Add(cleanPeriod)
 	if err != nil || now.Sub(startedAt) > slowCleanTime {
@@ -91,24 +91,27 @@
 		c.h.Log.Warn("rows_not_deleted", slog.Int("jobs", len(ended)), slog.Any("error", err))
 		return
 	}
-	c.h.post(cleanedMessage{epoch: c.epoch, jobs: append([]jobs.ID(nil), ended...)})
+	c.h.post(cleanedMessage{epoch: c.epoch, version: version, jobs: append([]jobs.ID(nil), ended...)})
 	c.waiting = c.waiting[len(ended):]
 	if len(c.waiting) >= maxRecordEntries && now.Sub(startedAt) <= slowCleanTime {
 		c.nextCleanAt = now.Add(cleanBacklogPeriod)
 	}
 }
 
-// cleanedMessage reports that the rows of the jobs are deleted.
+// cleanedMessage reports that the rows of the jobs are deleted, as of the table's version.
 type cleanedMessage struct {
-	epoch uint64
-	jobs  []jobs.ID
+	epoch   uint64
+	version storage.RowVersion
+	jobs    []jobs.ID
 }
 
 func (m cleanedMessage) apply(h *Holder) {
 	if h.cell == nil || h.cell.epoch != m.epoch {
 		return
 	}
+	r := h.cell.recorder
+	r.removedJobs.rowsDeleted(m.version, m.jobs)
 	for _, id := range m.jobs {
-		h.cell.recorder.jobRowsDeleted[id] = true
+		r.jobRowsDeleted[id] = true
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -243,7 +243,7 @@
 		h.logOutcome(outcome)
 	}
 	for _, id := range plan.Removed {
-		c.recorder.remove(h.now, id)
+		c.recorder.remove(id)
 	}
 }
 
--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -28,12 +28,6 @@
 	recordTimeout = 900 * time.Millisecond
 	// recordRetryPause is the pause after a failed attempt.
 	recordRetryPause = 100 * time.Millisecond
-	// removedRetention is how long the ID of a removed job is kept, so that a
-	// delayed row of the feed does not add the job again.
-	removedRetention = 30 * time.Second
-	// removedEvictionBatch limits the cost of eviction: expired IDs are evicted
-	// only when the number of kept IDs is a multiple of it.
-	removedEvictionBatch = 1024
 )
 
 // recorder collects state that has to be durable and writes it, one write at a
@@ -51,12 +45,13 @@
 	// are deleted.
 	removed        map[jobs.ID]bool
 	jobRowsDeleted map[jobs.ID]bool
+	// removedJobs keeps the feed from adding removed jobs again.
+	removedJobs removedJobs
 	// removedInWrite contains the removed jobs of the write in flight.
 	removedInWrite []jobs.ID
 	finalStatus    map[jobs.ID]jobs.Status
 	// finalState contains the final states of jobs that still have a progress row.
 	finalState      map[jobs.ID]jobs.State
-	removedAt       map[jobs.ID]time.Time
 	runningRecorded map[jobs.ID]bool
 	queues          *Queues
 	// rosterChanged is set when the roster has to be written.
@@ -96,25 +91,17 @@
 		jobRowsDeleted:  map[jobs.ID]bool{},
 		finalStatus:     map[jobs.ID]jobs.Status{},
 		finalState:      map[jobs.ID]jobs.State{},
-		removedAt:       map[jobs.ID]time.Time{},
+		removedJobs:     newRemovedJobs(),
 		runningRecorded: map[jobs.ID]bool{},
 		endsInWrite:     map[model.EndpointID]recordedEnds{},
 	}
 }
 
-// recentlyRemoved reports whether the job's ID is still kept after its removal.
-func (r *recorder) recentlyRemoved(id jobs.ID) bool {
-	_, found := r.removedAt[id]
-	return found
-}
-
-// remove schedules the deletion of the job's rows. For at least removedRetention,
-// its row in the feed does not add the job again.
-func (r *recorder) remove(now time.Time, id jobs.ID) {
+// remove schedules the deletion of the job's rows.
+func (r *recorder) remove(id jobs.ID) {
 	r.removed[id] = true
 	delete(r.changed, id)
-	r.removedAt[id] = now
-	r.evictRemoved(now)
+	r.removedJobs.add(id)
 }
 
 func (r *recorder) addOutcome(h *Holder, o planner.Outcome) {
@@ -239,20 +226,6 @@
 	return writes
 }
 
-// evictRemoved evicts the IDs of jobs that were removed more than
-// removedRetention ago, if the number of IDs is a multiple of
-// removedEvictionBatch.
-func (r *recorder) evictRemoved(now time.Time) {
-	if len(r.removedAt)%removedEvictionBatch != 0 {
-		return
-	}
-	for id, at := range r.removedAt {
-		if now.Sub(at) > removedRetention {
-			delete(r.removedAt, id)
-		}
-	}
-}
-
 func rosterRow(entries map[model.EndpointID]rosterEntry) roster {
 	var row roster
 	for _, e := range entries {
--- a/holder/runcommands_test.go
+++ b/holder/runcommands_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hornbeamworks/hornbeam/catalog"
+	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/instances"
@@ -27,6 +28,7 @@
 func newTestHolder(ctx context.Context, entries ...fleet.Endpoint) *Holder {
 	h := &Holder{now: time.Unix(1000, 0), actUntil: time.Unix(2000, 0)}
 	h.Log = logging.Discard()
+	h.Clock, h.Wall = clock.Boot{}, clock.System{}
 	h.Start = func(...duty.Runner) {}
 	h.MaxLease = 10 * time.Second
 	h.cell = &cell{
@@ -34,7 +36,7 @@
 		sessions: map[model.EndpointID]*session{}, roster: map[model.EndpointID]rosterEntry{},
 	}
 	h.cell.commands = newCommands(h)
-	h.cell.recorder = &recorder{}
+	h.cell.recorder = newRecorder(h, 0)
 	h.cell.planner.SetTime(h.now, h.now.UnixMilli())
 	h.cell.planner.SetCatalog(&catalog.Catalog{
 		Queues:   map[jobs.QueueName]*catalog.Queue{testQueue: {Name: testQueue, Service: testService, Attempts: 3, Stretch: 4}},
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -187,6 +187,10 @@
 	if c == nil || c.epoch != m.epoch || !actingStates.Has(h.state) {
 		return
 	}
+	if m.update.Full {
+		h.Log.Info("jobs_read_again", slog.Uint64("epoch", c.epoch), slog.Uint64("version", uint64(m.update.Version)),
+			slog.Int("rows", len(m.update.Changes)), slog.Int("removed_jobs", len(c.recorder.removedJobs.ids)))
+	}
 	for _, change := range m.update.Changes {
 		if change.Key == election.EpochKey {
 			h.checkEpoch(change)
@@ -196,6 +200,9 @@
 			h.applyJob(change.Row)
 		}
 	}
+	if h.cell == c {
+		c.recorder.removedJobs.feedApplied(m.update.Version)
+	}
 }
 
 // checkEpoch makes the holder step down if the feed shows a later epoch: the jobs
@@ -231,7 +238,7 @@
 	switch {
 	case p.HasJob(job.ID) && job.Cancelled:
 		p.CancelJob(job.ID)
-	case !p.HasJob(job.ID) && !h.cell.recorder.recentlyRemoved(job.ID):
+	case !p.HasJob(job.ID) && !h.cell.recorder.removedJobs.contains(job.ID):
 		p.AddJob(job, nil)
 	default:
 		return
