Bound the time in which a command is sent through another instance

Callers' tasks ran twice: at the same time on two endpoints, or once more after their end had been acknowledged.

Cause: a start waited in the connection of an instance that stood still. The instance counted the permission to send it from when it read the batch. The holder had given the start up 0.4 s after sending it, much sooner than the permission ended, had stopped the run and started the task elsewhere. The endpoint had restarted since and knew neither of the stop nor of the epoch.

Change: the end of a permission is a time of the sending instance's clock, which the holder reads beforehand. It is at most 0.5 s after the decision. A start without an outcome is given up only after that and the timeout of the call. Until then a listing without the run is not its end, and a restart of the endpoint makes the holder stop it again.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,9 +18,10 @@
 
 const (
 	// serviceName is the net/rpc name of the service.
-	serviceName   = "Dispatch"
-	sendMethod    = serviceName + ".Send"
-	collectMethod = serviceName + ".Collect"
+	serviceName     = "Dispatch"
+	sendMethod      = serviceName + ".Send"
+	collectMethod   = serviceName + ".Collect"
+	readClockMethod = serviceName + ".ReadClock"
 	// agentRing is the capacity of the agent's ring, which holds batches of
 	// commands and the ends of calls.
 	agentRing = 1024
@@ -35,8 +38,11 @@
 
 // Batch is a batch of commands from the holder of the given epoch.
 type Batch struct {
-	Epoch    uint64
-	Commands []Command
+	Epoch uint64
+	// Incarnation is that of the agent whose clock the commands' SendBy refers to; 0 from a
+	// holder of an older build.
+	Incarnation uint64
+	Commands    []Command
 }
 
 // Request is the argument of Collect.
@@ -49,7 +55,7 @@
 // Reply is the result of Collect.
 type Reply struct{ Outcomes []Outcome }
 
-// Empty is the result of Send, which carries no data.
+// Empty is an argument or result without data.
 type Empty struct{}
 
 // agentMessage is a message in the agent's ring.
@@ -64,6 +70,8 @@
 	clock     clock.Clock
 	log       *logging.Logger
 	start     func(...duty.Runner)
+	// incarnation identifies this process to holders. It is not 0.
+	incarnation uint64
 
 	epoch    uint64
 	cancel   context.CancelFunc
@@ -78,6 +86,7 @@
 // calls; start runs the duties that make them.
 func NewAgent(ctx context.Context, commander fleet.Commander, c clock.Clock, log *logging.Logger, start func(...duty.Runner)) *Agent {
 	a := &Agent{ctx: ctx, commander: commander, clock: c, log: log, start: start, cancel: func() {}}
+	a.incarnation = 1 + rand.Uint64N(math.MaxUint64)
 	a.Duty = duty.New("agent", agentRing, duty.HandlerFunc[agentMessage](a.handle))
 	return a
 }
@@ -204,13 +213,20 @@
 // service exposes the agent through net/rpc.
 type service struct{ agent *Agent }
 
-// Send starts the commands of a batch without waiting for their outcomes.
+// Send starts the commands of a batch without waiting for their outcomes. The batch may
+// have been sent long before it is received, so that the commands' permissions are times
+// and not durations.
 func (s *service) Send(batch Batch, _ *Empty) error {
+	if batch.Incarnation != 0 && batch.Incarnation != s.agent.incarnation {
+		return errOtherIncarnation
+	}
 	receivedAt := s.agent.clock.Now()
 	for i, command := range batch.Commands {
-		if command.ValidFor > 0 {
-			batch.Commands[i] = command.Until(receivedAt.Add(command.ValidFor))
+		validUntil := receivedAt.Add(SendWindow)
+		if command.SendBy != 0 {
+			validUntil = time.Unix(0, command.SendBy)
 		}
+		batch.Commands[i] = command.Until(validUntil)
 	}
 	m := batchMessage{Batch: batch, reply: make(chan error, 1)}
 	if err := s.agent.Put(s.agent.ctx, m); err != nil {
--- a/dispatch/command.go
+++ b/dispatch/command.go
@@ -13,6 +13,10 @@
 )
 
 const (
+	// SendWindow bounds the time from the decision to the call of the endpoint. The holder
+	// gives up a command without an outcome later than that, so that a command that it
+	// has given up is not sent.
+	SendWindow = 500 * time.Millisecond
 	// StartStopTimeout bounds a start or a stop. Endpoints respond within a few
 	// milliseconds.
 	StartStopTimeout = 400 * time.Millisecond
@@ -27,9 +31,10 @@
 	Start *fleet.Start
 	Stop  *fleet.Stop
 	Renew *fleet.Renewal
-	// ValidFor is how long after its arrival at another instance the command may be sent
-	// to the endpoint; 0 means without limit, as from a holder of an older build.
-	ValidFor time.Duration
+	// SendBy is the time of the receiving agent's clock until which it may send the command
+	// to the endpoint, in nanoseconds. It is 0 if the holder is of an older build: the
+	// agent then applies SendWindow from the command's arrival.
+	SendBy int64
 	// validUntil is the time until which it may be sent, on this instance's clock; zero
 	// means without limit.
 	validUntil time.Time
@@ -48,7 +53,7 @@
 
 // expiredOutcome is the outcome of a command that was not sent, since it had expired.
 func (c Command) expiredOutcome() Outcome {
-	return Outcome{ID: c.ID, Code: Refused, Reason: "the holder's lease had run out"}
+	return Outcome{ID: c.ID, Code: Refused, Reason: "the permission to send it had ended"}
 }
 
 // Timeout returns how long the call may take.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/dispatch"
 	"github.com/hornbeamworks/hornbeam/duty"
+	"github.com/hornbeamworks/hornbeam/faultproxy"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/jobs"
@@ -25,6 +26,9 @@
 // waitTimeout bounds the waits of the tests; it is reached only on failure.
 const waitTimeout = 20 * time.Second
 
+// partitionTime is how long the tests hold back what a holder sends to an agent.
+const partitionTime = 300 * time.Millisecond
+
 // fakeCommander is a fleet.Commander whose response depends on the endpoint's ID:
 // "unresponsive" never responds, "fenced" returns ErrFenced.
 type fakeCommander struct {
@@ -221,6 +225,33 @@
 		Expect(commander.started()).To(Equal(1))
 	})
 
+	// A machine that stood still read the batch when it went on, and counted the time for
+	// which the commands may be sent from then.
+	It("does not execute commands that it reads after their permission has ended", func() {
+		commander := &fakeCommander{}
+		ctx, cancel := context.WithCancel(context.Background())
+		group := duty.NewGroup(ctx)
+		proxy, err := faultproxy.Listen(group, "127.0.0.1:0", startAgent(commander), 1)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() {
+			cancel()
+			Expect(group.Wait()).To(Succeed())
+		})
+		r, sink := startRemote(proxy.Address(), 1)
+		Expect(r.Send([]dispatch.Command{startCommand(1, "e")})).To(BeTrue())
+		Eventually(func() bool { _, found := sink.outcome(1)(); return found }, waitTimeout).Should(BeTrue())
+
+		proxy.Set(faultproxy.Partition())
+		now := clock.Boot{}.Now()
+		Expect(r.Send([]dispatch.Command{
+			startCommand(2, "e").Until(now.Add(partitionTime / 2)), startCommand(3, "e").Until(now.Add(time.Hour)),
+		})).To(BeTrue())
+		time.Sleep(partitionTime)
+		proxy.Set(faultproxy.Faults{})
+		Eventually(func() bool { _, found := sink.outcome(3)(); return found }, waitTimeout).Should(BeTrue())
+		Expect(commander.started()).To(Equal(2), "the second start had expired")
+	})
+
 	It("has received no commands when it is unreachable", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -45,6 +45,8 @@
 	sink      Sink
 	sender    *duty.Duty[[]Command]
 	collector *duty.Duty[struct{}]
+	// reading is the last reading of the agent's clock. Only the sender uses it.
+	reading clockReading
 }
 
 // NewRemote returns a Remote for the instance at the peer address. Cancelling ctx
@@ -66,25 +68,34 @@
 	if len(batches) == 0 {
 		return duty.Never
 	}
-	all := r.valid(slices.Concat(batches...))
-	if len(all) == 0 {
+	all := slices.Concat(batches...)
+	if err := r.readClock(); err != nil {
+		r.sink.Failed(r, commandIDs(all), false, err)
+		return duty.Never
+	}
+	if all = r.valid(all); len(all) == 0 {
 		return duty.Never
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, peerTimeout)
 	defer cancel()
-	err := r.peers.Call(ctx, r.Address, sendMethod, Batch{Epoch: r.epoch, Commands: all}, &Empty{})
-	if err != nil {
-		ids := make([]uint64, 0, len(all))
-		for _, command := range all {
-			ids = append(ids, command.ID)
-		}
-		r.sink.Failed(r, ids, !eris.Is(err, peerrpc.ErrNotSent), err)
+	batch := Batch{Epoch: r.epoch, Incarnation: r.reading.Incarnation, Commands: all}
+	if err := r.peers.Call(ctx, r.Address, sendMethod, batch, &Empty{}); err != nil {
+		r.reading = clockReading{}
+		r.sink.Failed(r, commandIDs(all), !eris.Is(err, peerrpc.ErrNotSent), err)
 	}
 	return duty.Never
 }
 
-// valid returns the commands that may still be sent, with the time that is left to them,
-// and reports the others as refused.
+func commandIDs(commands []Command) []uint64 {
+	ids := make([]uint64, 0, len(commands))
+	for _, command := range commands {
+		ids = append(ids, command.ID)
+	}
+	return ids
+}
+
+// valid returns the commands that may still be sent, with the ends of their permissions on
+// the agent's clock, and reports the others as refused.
 func (r *Remote) valid(commands []Command) []Command {
 	now := r.clock.Now()
 	var valid []Command
@@ -95,7 +106,7 @@
 			continue
 		}
 		if !command.validUntil.IsZero() {
-			command.ValidFor = command.validUntil.Sub(now)
+			command.SendBy = r.reading.agentTime(command.validUntil)
 		}
 		valid = append(valid, command)
 	}
--- a/holder/commands.go
+++ b/holder/commands.go
@@ -13,9 +13,11 @@
 )
 
 const (
+	// returnAllowance is the time that an outcome may take from another instance.
+	returnAllowance = 100 * time.Millisecond
 	// remoteAllowance is the time that a command sent through another instance
 	// may take in addition to the call's own timeout.
-	remoteAllowance = 500 * time.Millisecond
+	remoteAllowance = dispatch.SendWindow + returnAllowance
 	// remoteExclusion is how long no commands are sent through an instance that
 	// did not respond.
 	remoteExclusion = 1500 * time.Millisecond
@@ -50,10 +52,14 @@
 	command dispatch.Command
 	session *session
 	// sentAt is when the command was queued for sending. Without an outcome by
-	// expiresAt it counts as unanswered.
+	// expiresAt it counts as unanswered: it is not executed any more, unless the call
+	// has reached the endpoint.
 	sentAt, expiresAt time.Time
 	// via is the instance that sends the command; nil for this one.
 	via *remote
+	// lost is why no outcome is expected from via, which may still send the command until
+	// expiresAt; nil otherwise.
+	lost error
 }
 
 // remote is another instance that sends commands to endpoints for the holder.
@@ -86,7 +92,7 @@
 	cs := h.cell.commands
 	cs.lastID++
 	command.ID = cs.lastID
-	command = command.Until(h.actUntil)
+	command = command.Until(earliest(h.actUntil, h.now.Add(dispatch.SendWindow)))
 	p := pendingCommand{command: command, session: s, sentAt: h.now, expiresAt: h.now.Add(command.Timeout() + remoteAllowance), via: cs.remoteFor(s)}
 	if p.via != nil {
 		p.via.batch = append(p.via.batch, command)
@@ -97,6 +103,13 @@
 	return true
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // remoteFor returns the instance that sends commands to the endpoint; nil for this
 // one. After failures, an endpoint with a route is tried directly and through the
 // route in turn.
@@ -183,7 +196,13 @@
 	}
 	cs.expiryCheckedAt = h.now
 	for id, p := range cs.pending {
-		if h.now.After(p.expiresAt) {
+		if !h.now.After(p.expiresAt) {
+			continue
+		}
+		if p.lost != nil {
+			delete(cs.pending, id)
+			h.handleLostCommand(p, false, p.lost)
+		} else {
 			cs.handleOutcome(h, dispatch.Outcome{ID: id, Code: dispatch.NoResponse, Reason: "no outcome in time"})
 		}
 	}
@@ -216,8 +235,9 @@
 }
 
 // handleRemoteFailure excludes an instance that did not respond and resolves the
-// commands that were sent through it. sent reports whether the instance may have
-// received the commands in ids.
+// commands that were sent through it, but for starts that it may still send: their tasks
+// must not be started elsewhere before their permissions have ended. sent reports whether
+// the instance may have received the commands in ids.
 func (cs *commands) handleRemoteFailure(h *Holder, r *remote, ids []uint64, sent bool, err error) {
 	if !h.now.Before(r.excludedUntil) {
 		h.Log.Warn("commands_failed", slog.String("instance", r.Address), slog.Int("commands", len(ids)),
@@ -234,7 +254,12 @@
 	}
 	r.batch = nil
 	for id, p := range cs.pending {
-		if p.via == r {
+		switch {
+		case p.via != r:
+		case p.command.Start != nil && !notSent[id]:
+			p.lost = err
+			cs.pending[id] = p
+		default:
 			delete(cs.pending, id)
 			h.handleLostCommand(p, notSent[id], err)
 		}
@@ -249,6 +274,7 @@
 		h.cell.planner.StartRefused(p.command.Start.Run, fleet.ErrRefused)
 	case p.command.Start != nil:
 		h.logFailedCommand("start", p.command.Target(), p.command.Start.Run, err)
+		h.cell.planner.StartSettled(p.command.Start.Run)
 		h.cell.planner.OutcomeUnknown(p.command.Start.Run)
 	case p.command.Stop != nil:
 		h.scheduleStopRetry(p.command.Stop.Run)
--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -103,6 +103,7 @@
 	case err == nil:
 		planner.StartConfirmed(start.Run)
 	case eris.Is(err, fleet.ErrNoResponse):
+		planner.StartSettled(start.Run)
 		planner.NoResponse(start.Run)
 	default:
 		planner.StartRefused(start.Run, err)
--- a/holder/runcommands_test.go
+++ b/holder/runcommands_test.go
@@ -6,9 +6,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/catalog"
 	"github.com/hornbeamworks/hornbeam/clock"
+	"github.com/hornbeamworks/hornbeam/dispatch"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/instances"
@@ -55,6 +57,12 @@
 	return fleet.Endpoint{ID: id, Service: testService, Address: string(id), Capacity: model.Resources{model.CPU: 1000 * cores}, Born: 1}
 }
 
+// advance moves the holder's clock.
+func (h *Holder) advance(d time.Duration) {
+	h.now = h.now.Add(d)
+	h.cell.planner.SetTime(h.now, h.now.UnixMilli())
+}
+
 // decideStarts adds a job of one step and passes its starts to the write in flight.
 func (h *Holder) decideStarts(id jobs.ID, step jobs.Step) []planner.Start {
 	h.cell.planner.AddJob(&jobs.Job{ID: id, Team: "red", Queue: testQueue, Steps: []jobs.Step{step}, Accepted: h.now.UnixMilli()}, nil)
@@ -201,3 +209,29 @@
 		}
 	})
 })
+
+// The holder started the tasks elsewhere at once. The instance that did not respond had the
+// starts, and sent them to endpoints that had restarted since.
+var _ = Describe("A start that was sent through an instance that does not respond", func() {
+	It("counts as lost only when the instance may not send it any more", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16), testEntry("f", 16))
+		h.DirectEndpoints = 1
+		h.cell.commands.setInstances([]instances.Instance{{Address: "10.0.1.1:1", CPUShare: 1}})
+		h.cell.commands.updateRoutes(h)
+		starts := h.decideStarts("a", jobs.Step{Count: 1, Size: model.Resources{model.CPU: 1000}, Estimate: time.Second})
+		Expect(starts).To(HaveLen(1))
+		recordedMessage{1}.apply(h)
+		Expect(h.sentStarts()).To(HaveLen(1))
+		h.cell.commands.flush(h)
+
+		remoteFailedMessage{epoch: 1, address: "10.0.1.1:1", sent: true, err: eris.New("no reply")}.apply(h)
+		p := h.cell.planner
+		h.advance(dispatch.SendWindow + dispatch.StartStopTimeout)
+		h.cell.commands.expire(h)
+		Expect(p.StartPending(starts[0].Run)).To(BeTrue())
+		Expect(p.TakePlan().Stops).To(BeEmpty())
+		h.advance(remoteAllowance)
+		h.cell.commands.expire(h)
+		Expect(p.TakePlan().Stops).To(HaveLen(1))
+	})
+})
--- a/integration/cell/dispatch_test.go
+++ b/integration/cell/dispatch_test.go
@@ -60,6 +60,27 @@
 		Expect(s.Checker.Violations()).To(BeEmpty())
 	})
 
+	// A resumed instance sent the starts that the holder had given up to endpoints that had
+	// restarted meanwhile, which knew neither of the stops nor of the epoch.
+	It("run nothing twice when endpoints restart while the sending instance is paused", func() {
+		s, holder, sender := startDispatching(3, 4)
+		s.Nodes[sender].Signal(syscall.SIGSTOP)
+		for i := range jobs {
+			Expect(s.Submit(holder, id(i), 3)).To(Equal(http.StatusOK))
+		}
+		// The starts have been given up, and the tasks are being run elsewhere.
+		time.Sleep(1500 * time.Millisecond)
+		for _, e := range s.Endpoints {
+			e.Crash()
+		}
+		s.Nodes[sender].Signal(syscall.SIGCONT)
+		for i := range jobs {
+			s.Completed(holder, id(i))
+		}
+		time.Sleep(time.Second)
+		Expect(s.Checker.AcknowledgedViolations()).To(BeEmpty())
+	})
+
 	It("continue under a new holder when the holder is killed", func() {
 		s, holder, sender := startDispatching(3, 4)
 		submitAll(s)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -256,15 +256,28 @@
 	return p.catalog.Queues[j.Queue]
 }
 
-// StartSent records that the start of a run has been sent.
+// StartSent records that the start of a run has been sent. The caller reports its outcome,
+// and calls StartSettled if there is none.
 func (p *Planner) StartSent(id jobs.RunID) {
 	if r := p.runs[id]; r != nil {
 		r.markSent()
+		r.startInFlight = true
+	}
+}
+
+// StartSettled records that the start of a run is not executed after now, whether or not
+// it has been executed before.
+func (p *Planner) StartSettled(id jobs.RunID) {
+	if r := p.runs[id]; r != nil {
+		r.startInFlight, r.startSettledAt = false, p.now
 	}
 }
 
 // StartConfirmed handles an endpoint's confirmation of a start.
-func (p *Planner) StartConfirmed(id jobs.RunID) { p.fire(id, evConfirm) }
+func (p *Planner) StartConfirmed(id jobs.RunID) {
+	p.StartSettled(id)
+	p.fire(id, evConfirm)
+}
 
 // StartRefused handles an endpoint's refusal of a start: the run never executes.
 func (p *Planner) StartRefused(id jobs.RunID, err error) {
@@ -272,6 +285,7 @@
 	if r == nil {
 		return
 	}
+	p.StartSettled(id)
 	r.task.step.expireTicket(r.endpoint.ID)
 	r.endpoint.recordRefusal(p.now, err)
 	p.fire(id, evRefused)
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/planner"
 )
 
 var _ = Describe("A start that reached an endpoint's new incarnation before the restart was observed", func() {
@@ -39,6 +40,54 @@
 	})
 })
 
+// An instance that stood still may send a start long after it got it. The endpoint forgot the
+// stop when it restarted, and the task ran there beside its next run.
+var _ = Describe("A start without an outcome that is stopped", func() {
+	var f *fixture
+	var first planner.Start
+	BeforeEach(func() {
+		f = newFixture(1, 2)
+		f.submit("a", batch, jobs.Step{Count: 1, Size: size(1000, 100), Estimate: time.Second})
+		first = f.plan().Starts[0]
+		f.StartSent(first.Run)
+	})
+	// restart observes a restart of the endpoint, and its listing.
+	restart := func(born int64) {
+		f.tick(50 * time.Millisecond)
+		restarted := endpointInfo(0)
+		restarted.Born = born
+		f.SetEndpoint(restarted)
+		f.list(first.Endpoint, born)
+	}
+	confirmStop := func() {
+		stops := f.plan().Stops
+		Expect(stops).To(HaveLen(1))
+		Expect(stops[0].Run).To(Equal(first.Run))
+		f.StopConfirmed(first.Run)
+	}
+
+	It("is stopped again by each new incarnation, and not repeated while it may be executed", func() {
+		for born := range int64(3) {
+			restart(born + 2)
+			confirmStop()
+			f.tick(50 * time.Millisecond)
+			f.list(first.Endpoint, born+2)
+			Expect(f.plan().Starts).To(BeEmpty())
+		}
+	})
+
+	It("is repeated once a listing does not show it after that", func() {
+		restart(2)
+		confirmStop()
+		f.tick(50 * time.Millisecond)
+		f.StartSettled(first.Run)
+		Expect(f.plan().Starts).To(BeEmpty())
+		f.tick(50 * time.Millisecond)
+		f.list(first.Endpoint, int64(2))
+		Expect(f.plan().Starts).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("An endpoint that has restarted under its ID", func() {
 	// The tickets for its previous incarnation are void, and the request for them was
 	// not repeated.
--- a/planner/run.go
+++ b/planner/run.go
@@ -46,6 +46,10 @@
 	// its start.
 	sentAt   time.Time
 	survived bool
+	// startInFlight is set while the start may still be executed. startSettledAt is when
+	// that ended.
+	startInFlight  bool
+	startSettledAt time.Time
 	// takenOver is set if a former holder started the run, so that it is not known
 	// when.
 	takenOver bool
@@ -67,7 +71,10 @@
 
 func init() {
 	runsChart = chart.MustBind(charts.MustLoad("cell_run"),
-		chart.Guards[run]{"listed": func(r *run) bool { return r.lastListing > 0 }},
+		chart.Guards[run]{
+			"listed":        func(r *run) bool { return r.lastListing > 0 },
+			"start_settled": func(r *run) bool { return !r.startInFlight },
+		},
 		chart.Actions[run]{
 			"send_start": (*run).sendStart,
 			"send_stop":  (*run).sendStop,
@@ -246,6 +253,7 @@
 		return true
 	}
 	r.lastListing = p.listingSeq
+	r.startInFlight = false
 	if r.firstPercentAt.IsZero() {
 		r.firstPercent, r.firstPercentAt = s.Percent, p.now
 	}
@@ -380,9 +388,16 @@
 func (p *Planner) findAbsent(e *endpoint, requestedAt time.Time) {
 	e.findCrashSuspects()
 	for _, r := range e.sortedRuns() {
-		if r.lastListing == p.listingSeq || r.repliedAt.IsZero() || !r.repliedAt.Before(requestedAt) {
-			continue
+		if r.lastListing != p.listingSeq && r.listingDue(requestedAt) {
+			r.fire(evAbsent)
 		}
-		r.fire(evAbsent)
 	}
 }
+
+// listingDue reports whether a listing requested at requestedAt has to show the run if it
+// has not ended: the endpoint had replied about it before, and its start was not executed
+// later.
+func (r *run) listingDue(requestedAt time.Time) bool {
+	return !r.repliedAt.IsZero() && r.repliedAt.Before(requestedAt) &&
+		!r.startInFlight && !requestedAt.Before(r.startSettledAt)
+}
