Do not add a job again that completed in the batch of the full read

Callers' completed jobs ran again, 0.1 s after the table had discarded its history.

Cause: the deciding duty applies all messages of a batch before it executes the plan, from which the recorder learns of removed jobs. A job that completed earlier in the batch was known neither to the planner nor to the recorder when the feed showed its row, and was added as a new one.

Change: the planner is asked for the jobs that it has removed since the last plan. The test of holder/removed_test.go forces the order of events and failed before.

--- a/holder/removed_test.go
+++ b/holder/removed_test.go
@@ -71,6 +71,18 @@
 		Expect(h.cell.planner.HasJob(job.ID)).To(BeFalse())
 	})
 
+	// The recorder learned of removed jobs only after all messages of a batch, so that a job
+	// that had completed in the same batch was taken for a new one.
+	It("is not run again when all rows are read in the batch in which it completed", func(ctx SpecContext) {
+		h := newTestHolder(ctx, testEntry("e", 16))
+		h.state = machine.MustState("deciding")
+		job := testJob(h, "0000000000000001")
+		readJobs(h, 10, job)
+		complete(h, "e")
+		readJobs(h, 20, job)
+		Expect(h.cell.planner.HasJob(job.ID)).To(BeFalse())
+	})
+
 	It("is forgotten once the feed has passed the deletion of its row", func(ctx SpecContext) {
 		h := newTestHolder(ctx, testEntry("e", 16))
 		h.state = machine.MustState("deciding")
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -238,7 +238,7 @@
 	switch {
 	case p.HasJob(job.ID) && job.Cancelled:
 		p.CancelJob(job.ID)
-	case !p.HasJob(job.ID) && !h.cell.recorder.removedJobs.contains(job.ID):
+	case !p.HasJob(job.ID) && !h.removed(job.ID):
 		p.AddJob(job, nil)
 	default:
 		return
@@ -249,6 +249,11 @@
 		slog.Int64("age_ms", h.Wall.Now().UnixMilli()-job.Accepted))
 }
 
+// removed reports whether the job has been removed and the feed may still show its row.
+func (h *Holder) removed(id jobs.ID) bool {
+	return h.cell.planner.RemovedSincePlan(id) || h.cell.recorder.removedJobs.contains(id)
+}
+
 func decodeJob(row storage.Row) (*jobs.Job, error) {
 	var job jobs.Job
 	if err := json.Unmarshal(row.Value, &job); err != nil {
--- a/planner/job.go
+++ b/planner/job.go
@@ -121,6 +121,10 @@
 // HasJob reports whether the planner holds the job.
 func (p *Planner) HasJob(id jobs.ID) bool { return p.jobs[id] != nil }
 
+// RemovedSincePlan reports whether the job is among the removed jobs of the plan that is
+// taken next.
+func (p *Planner) RemovedSincePlan(id jobs.ID) bool { return slices.Contains(p.plan.Removed, id) }
+
 // finish decides the job's final state. An outcome that a former holder has recorded
 // is kept.
 func (j *job) finish(state jobs.State, reason string) {
