Record the last run number of a step that has used up its epoch's numbers

A service that had been started more than 1000 times stayed down after a take-over: its endpoint rejected the new holder's starts as older than runs that it had seen.

Cause: each epoch had the numbers of a range of 1000, beyond which a task went without a check, and the numbers of ended runs were not recorded.

Change: the highest number of a step that is beyond its epoch's range is recorded with the run, before its start is sent; a successor begins above it, and above the numbers that endpoints list. Gangs use the same count.

--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -29,6 +29,10 @@
 	Crashes map[int][]Crash `json:"crashed,omitempty"`
 	// Runs are the live runs. Each is recorded before its start is sent.
 	Runs []RunRecord `json:"runs,omitempty"`
+	// LastRun is the highest number of a run of any task, including those that have
+	// ended, if it is beyond the range of the holder's epoch; 0 otherwise. The runs of the
+	// next holder have higher numbers.
+	LastRun int `json:"last,omitempty"`
 	// Saved are the last checkpoints by task index.
 	Saved map[int]string `json:"saved,omitempty"`
 }
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -26,9 +26,9 @@
 	if placement == nil {
 		return false
 	}
-	s.lastGangRun = max(s.lastGangRun, int(p.epoch-1)*runsPerEpoch) + 1
+	number := max(s.lastRun, p.epochNumber()) + 1
 	for i, t := range slices.Clone(s.pending) {
-		p.newRun(t, placement[i], s.lastGangRun)
+		p.newRun(t, placement[i], number)
 	}
 	return true
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -131,12 +131,15 @@
 	return placedAll
 }
 
-// nextRunNumber returns the number of the task's next run.
+// nextRunNumber returns the number of the task's next run. It is higher than that of any
+// run that a former holder may have started: an endpoint rejects the others.
 func (t *task) nextRunNumber() int {
-	t.lastNumber++
-	return int(t.step.job.p.epoch-1)*runsPerEpoch + t.lastNumber
+	return max(t.lastNumber, t.step.inheritedRun, t.step.job.p.epochNumber()) + 1
 }
 
+// epochNumber returns the number below the first run number of the epoch.
+func (p *Planner) epochNumber() int { return int(p.epoch-1) * runsPerEpoch }
+
 // bestEndpoint returns the endpoint with the lowest score on which the task
 // fits; nil if there is none.
 func (p *Planner) bestEndpoint(s *step, t *task, candidates []*endpoint) *endpoint {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -15,9 +15,8 @@
 	"github.com/hornbeamworks/hornbeam/model"
 )
 
-// runsPerEpoch is the range of run numbers that each epoch has, so that the
-// numbers of two holders don't overlap. A task has far fewer runs within one
-// epoch.
+// runsPerEpoch is the range of run numbers that each epoch has, so that the numbers of
+// two holders don't overlap. The last number of a step that has used more is recorded.
 const runsPerEpoch = 1000
 
 // Start is a command to start a run.
--- a/planner/run.go
+++ b/planner/run.go
@@ -109,6 +109,7 @@
 		task: t, endpoint: e, size: t.step.Committed(), enteredAt: p.now, progressAt: p.now,
 	}
 	runsChart.Start(&r.state, r)
+	t.observeNumber(number)
 	p.runs[r.id] = r
 	p.reserved[r] = true
 	e.addRun(r)
@@ -124,6 +125,13 @@
 	return r
 }
 
+// observeNumber records the number of a run of the task, also of one that a former holder
+// started.
+func (t *task) observeNumber(number int) {
+	t.lastNumber = max(t.lastNumber, number)
+	t.step.lastRun = max(t.step.lastRun, number)
+}
+
 // fire applies an event to the run. A run that has ended releases its
 // capacity.
 func (r *run) fire(event runEvent) {
@@ -277,9 +285,6 @@
 	}
 	r := p.newRun(t, e, id.Number)
 	r.takenOver = true
-	if t.step.Gang {
-		t.step.lastGangRun = max(t.step.lastGangRun, id.Number)
-	}
 	return r
 }
 
@@ -311,6 +316,7 @@
 		return
 	}
 	t.step.job.executed = true
+	t.observeNumber(end.Run.Number)
 	t.setCheckpoint(end.Saved)
 	t.applyEndToCrashes(e, end)
 	var result chart.Event
@@ -372,9 +378,6 @@
 	r.takenOver = true
 	r.fire(evInherit)
 	r.born = record.Born
-	if t.step.Gang {
-		t.step.lastGangRun = max(t.step.lastGangRun, record.Number)
-	}
 }
 
 // StartPending reports whether the run still waits for its start to be sent or
--- a/planner/step.go
+++ b/planner/step.go
@@ -22,9 +22,10 @@
 	tasks    []*task
 	pending  []*task
 	done     int
-	// lastGangRun is the highest number of a run of the gang; gangCheckpoint is its
-	// last checkpoint.
-	lastGangRun    int
+	// lastRun is the highest number of a run of any task, inheritedRun the one that a
+	// former holder has recorded.
+	lastRun, inheritedRun int
+	// gangCheckpoint is the last checkpoint of a gang.
 	gangCheckpoint string
 	advice         advice
 	rank           rank
@@ -285,10 +286,16 @@
 			}
 		}
 	}
+	if s.lastRun > s.job.p.epochNumber()+runsPerEpoch {
+		row.LastRun = s.lastRun
+		found = true
+	}
 	return row, found
 }
 
 func (s *step) restore(row jobs.StepProgress) {
+	s.inheritedRun = row.LastRun
+	s.lastRun = max(s.lastRun, row.LastRun)
 	for i, numbers := range row.Failures {
 		if t := s.taskAt(i); t != nil {
 			t.failedRuns = numbers
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -35,6 +35,28 @@
 		Expect(f.plan().Outcomes[0].State).To(Equal(jobs.Completed))
 	})
 
+	// The numbers of an epoch were the thousand from (epoch - 1) x 1000 on. A service whose
+	// tasks had been started more often stayed down: its endpoint rejected all starts.
+	It("numbers runs above those of a service that has had more than a thousand", func() {
+		previous := newFixture(1, 1)
+		job := previous.submit("a", batch, jobs.Step{Count: 1, Size: size(1000, 100), Estimate: time.Second, Lasting: true})
+		highest := 0
+		for range 1300 {
+			plan := previous.plan()
+			Expect(plan.Starts).To(HaveLen(1))
+			highest = plan.Starts[0].Run.Number
+			previous.start(plan)
+			previous.list("e00", ended(plan.Starts[0].Run, fleet.Succeeded))
+		}
+		Expect(highest).To(Equal(1300))
+
+		f := newFixture(2, 1)
+		f.AddJob(job, previous.progress("a"))
+		starts := f.plan().Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Run.Number).To(BeNumerically(">", highest))
+	})
+
 	// A gang that ended by success while its cancelled job was closing was reported as
 	// completed by the successor.
 	It("keeps the recorded outcome of a job whose tasks have succeeded since", func() {
--- a/planner/task.go
+++ b/planner/task.go
@@ -14,7 +14,7 @@
 	step  *step
 	id    jobs.TaskID
 	state chart.State
-	// lastNumber is the number of the task's latest run within this epoch.
+	// lastNumber is the highest number of a run of the task that is known.
 	lastNumber int
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []int
