Keep only the last failed run of a lasting task

A service whose tasks kept failing stopped the whole cell: no task of any job was started any more, while all endpoints were idle.

Cause: the numbers of all failed runs are recorded, although the failures of a lasting task have no limit. The table refused the row as too large, and the recorder retried it without end; every start waits for such a write.

Change: of a lasting task the last failed run is kept. Avoided endpoints are kept once.

--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -21,8 +21,8 @@
 	Complete bool `json:"all,omitempty"`
 	// Done are the indexes of the tasks that have succeeded.
 	Done []int `json:"done,omitempty"`
-	// Failures are the numbers of the failed runs by task index. A gang's
-	// failures are those of task 0.
+	// Failures are the numbers of the failed runs by task index; of a lasting task only
+	// the last one. A gang's failures are those of task 0.
 	Failures map[int][]int `json:"failed,omitempty"`
 	// Crashes are the runs in a row that may have crashed their endpoints, by task
 	// index. A gang's are those of task 0.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -296,7 +296,7 @@
 func (p *Planner) NoResponse(id jobs.RunID) {
 	if r := p.runs[id]; r != nil && r.state == runStarting {
 		r.endpoint.quarantine(p.now)
-		r.task.avoidedEndpoints = append(r.task.avoidedEndpoints, r.endpoint.ID)
+		r.task.avoid(r.endpoint.ID)
 	}
 	p.OutcomeUnknown(id)
 }
--- a/planner/step.go
+++ b/planner/step.go
@@ -298,7 +298,7 @@
 	s.lastRun = max(s.lastRun, row.LastRun)
 	for i, numbers := range row.Failures {
 		if t := s.taskAt(i); t != nil {
-			t.failedRuns = numbers
+			t.setFailedRuns(numbers)
 		}
 	}
 	for i, crashes := range row.Crashes {
--- a/planner/successor_test.go
+++ b/planner/successor_test.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamworks/hornbeam/fleet"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 var _ = Describe("A successor", func() {
@@ -57,6 +58,23 @@
 		Expect(starts[0].Run.Number).To(BeNumerically(">", highest))
 	})
 
+	// The numbers of all failed runs were recorded, although the failures of a lasting task
+	// have no limit. Once the row was too large for the table, no job was started any more.
+	It("gets a row of bounded size for a service whose tasks keep failing", func() {
+		f := newFixture(1, 1)
+		f.submit("a", batch, jobs.Step{Count: 1, Size: size(1000, 100), Estimate: time.Second, Lasting: true})
+		for range 2000 {
+			plan := f.plan()
+			for len(plan.Starts) == 0 {
+				f.tick(time.Second) // The endpoint may be excluded.
+				plan = f.plan()
+			}
+			f.start(plan)
+			f.list("e00", ended(plan.Starts[0].Run, fleet.RunFailed))
+		}
+		Expect(len(storage.Encode(f.progress("a")))).To(BeNumerically("<", 200))
+	})
+
 	// A gang that ended by success while its cancelled job was closing was reported as
 	// completed by the successor.
 	It("keeps the recorded outcome of a job whose tasks have succeeded since", func() {
--- a/planner/task.go
+++ b/planner/task.go
@@ -16,7 +16,8 @@
 	state chart.State
 	// lastNumber is the highest number of a run of the task that is known.
 	lastNumber int
-	// failedRuns are the numbers of the runs that failed.
+	// failedRuns are the numbers of the runs that failed; of a lasting task, whose
+	// failures have no limit, only the last one.
 	failedRuns []int
 	// crashes are the runs in a row that may have crashed their endpoints. A gang
 	// counts them on its first task.
@@ -100,14 +101,30 @@
 	if slices.Contains(owner.failedRuns, number) {
 		return false
 	}
-	owner.failedRuns = append(owner.failedRuns, number)
+	owner.setFailedRuns(append(owner.failedRuns, number))
 	if id != "" {
-		t.avoidedEndpoints = append(t.avoidedEndpoints, id)
+		t.avoid(id)
 	}
 	t.step.job.markChanged()
 	return true
 }
 
+// setFailedRuns keeps what the task needs of the numbers, which are in the order in which
+// the failures became known.
+func (t *task) setFailedRuns(numbers []int) {
+	if t.step.Lasting && len(numbers) > 1 {
+		numbers = []int{numbers[len(numbers)-1]}
+	}
+	t.failedRuns = numbers
+}
+
+// avoid makes other endpoints preferred for the task.
+func (t *task) avoid(id model.EndpointID) {
+	if !slices.Contains(t.avoidedEndpoints, id) {
+		t.avoidedEndpoints = append(t.avoidedEndpoints, id)
+	}
+}
+
 // liveRuns returns the task's live runs.
 func (t *task) liveRuns() []*run {
 	var live []*run
