Write the roster in parts, each of which fits into a row

A cell of some 650 endpoints or more would have started no task: its roster, one row, was larger than the table accepts, and the recorder retried the refused write without end. The target is 1,600 endpoints.

Change: the roster is 32 rows, by a hash of the endpoint's ID. A change writes the parts that it touches. The row of an older build is read and replaced by parts.

--- a/holder/recorder.go
+++ b/holder/recorder.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -54,8 +56,10 @@
 	finalState      map[jobs.ID]jobs.State
 	runningRecorded map[jobs.ID]bool
 	queues          *Queues
-	// rosterChanged is set when the roster has to be written.
-	rosterChanged bool
+	// rosterChanged contains the parts of the roster that have to be written.
+	rosterChanged map[int]bool
+	// oldRosterFound is set while the row of an older build has to be deleted.
+	oldRosterFound bool
 	// starts contains the starts whose runs are not yet recorded, startsInWrite
 	// those whose runs the write in flight records.
 	starts, startsInWrite []planner.Start
@@ -92,6 +96,7 @@
 		finalStatus:     map[jobs.ID]jobs.Status{},
 		finalState:      map[jobs.ID]jobs.State{},
 		removedJobs:     newRemovedJobs(),
+		rosterChanged:   map[int]bool{},
 		runningRecorded: map[jobs.ID]bool{},
 		endsInWrite:     map[model.EndpointID]recordedEnds{},
 	}
@@ -160,11 +165,7 @@
 
 // collect returns the pending changes that fit into one write.
 func (r *recorder) collect(h *Holder) []storage.Write {
-	var writes []storage.Write
-	if r.rosterChanged {
-		r.rosterChanged = false
-		writes = append(writes, putRow(rosterKey, rosterRow(h.cell.roster)))
-	}
+	writes := r.rosterWrites(h)
 	if r.queues != nil {
 		writes = append(writes, putRow(QueuesKey, r.queues))
 		r.queues = nil
@@ -226,13 +227,40 @@
 	return writes
 }
 
-func rosterRow(entries map[model.EndpointID]rosterEntry) roster {
-	var row roster
-	for _, e := range entries {
-		row.Endpoints = append(row.Endpoints, e)
+// rosterWrites returns the writes of the parts of the roster that have changed.
+func (r *recorder) rosterWrites(h *Holder) []storage.Write {
+	var writes []storage.Write
+	if r.oldRosterFound {
+		r.oldRosterFound = false
+		writes = append(writes, deleteRow(oldRosterKey))
+	}
+	if len(r.rosterChanged) == 0 {
+		return writes
+	}
+	rows := make(map[int]roster, len(r.rosterChanged))
+	for id, e := range h.cell.roster {
+		if part := rosterPart(id); r.rosterChanged[part] {
+			rows[part] = roster{Endpoints: append(rows[part].Endpoints, e)}
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(r.rosterChanged)) {
+		endpoints := rows[part].Endpoints
+		sort.Slice(endpoints, func(i, k int) bool { return endpoints[i].ID < endpoints[k].ID })
+		writes = append(writes, putRow(rosterKey(part), roster{Endpoints: endpoints}))
+	}
+	clear(r.rosterChanged)
+	return writes
+}
+
+// markRosterChanged schedules the part of the roster with the endpoint to be written.
+func (r *recorder) markRosterChanged(id model.EndpointID) { r.rosterChanged[rosterPart(id)] = true }
+
+// replaceOldRoster schedules the row of an older build to be replaced by parts.
+func (r *recorder) replaceOldRoster() {
+	r.oldRosterFound = true
+	for part := range rosterParts {
+		r.rosterChanged[part] = true
 	}
-	sort.Slice(row.Endpoints, func(i, k int) bool { return row.Endpoints[i].ID < row.Endpoints[k].ID })
-	return row
 }
 
 // jobsToWrite returns the jobs with changes to write, those that have waited longest
--- a/holder/recorder_test.go
+++ b/holder/recorder_test.go
@@ -1,6 +1,8 @@
 package holder
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -9,6 +11,7 @@
 
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
 var _ = Describe("The recorder", func() {
@@ -35,4 +38,64 @@
 			Expect(strings.HasPrefix(string(id), "a")).To(BeTrue(), string(id))
 		}
 	})
+
+	// The roster was one row. With some 650 endpoints it was too large for the table, which
+	// refused the write with all others in it, without end.
+	It("writes the roster of the largest fleet in rows that the table accepts", func(ctx SpecContext) {
+		const endpoints, maxRow = 1600, 64 << 10
+		h := newTestHolder(ctx)
+		for i := range endpoints {
+			entry := testEntry(model.EndpointID(fmt.Sprintf("i-%010x", i)), 16)
+			entry.Address, entry.Domain = fmt.Sprintf("10.1.%d.%d:8623", i/250, i%250), "abbotsford"
+			h.applyEntry(entry)
+		}
+		listed := 0
+		for _, w := range h.cell.recorder.collect(h) {
+			Expect(len(w.Value)).To(BeNumerically("<", maxRow), w.Key)
+			var row roster
+			Expect(json.Unmarshal(w.Value, &row)).To(Succeed())
+			listed += len(row.Endpoints)
+		}
+		Expect(listed).To(Equal(endpoints))
+	})
+})
+
+// scannedTable is a table of which only Scan is called.
+type scannedTable struct {
+	storage.FeedTable
+	rows []storage.Row
+}
+
+func (t scannedTable) Scan(context.Context, string) (storage.Snapshot, error) {
+	return storage.Snapshot{Rows: t.rows}, nil
+}
+
+var _ = Describe("The roster", func() {
+	It("is read from its parts, and from the row of an older build, which is replaced", func(ctx SpecContext) {
+		old := roster{Endpoints: []rosterEntry{{ID: "a", Address: "10.0.0.1:1", Domain: "d"}}}
+		part := roster{Endpoints: []rosterEntry{{ID: "b", Address: "10.0.0.2:1", Domain: "d"}}}
+		table := scannedTable{rows: []storage.Row{
+			{Key: recordKey, Value: []byte("{}"), Version: 8},
+			{Key: oldRosterKey, Value: storage.Encode(old)},
+			{Key: rosterKey(3), Value: storage.Encode(part)},
+		}}
+		found := &restoredCell{}
+		Expect((&restorer{table: table, ctx: ctx}).readCellRows(found)).To(Succeed())
+		Expect(found.recordVersion).To(BeEquivalentTo(8))
+		Expect(found.roster.Endpoints).To(HaveLen(2))
+		Expect(found.oldRoster).To(BeTrue())
+
+		h := newTestHolder(ctx)
+		h.addRoster(found.roster)
+		h.cell.recorder.replaceOldRoster()
+		writes := map[string]storage.Write{}
+		for _, w := range h.cell.recorder.collect(h) {
+			writes[w.Key] = w
+		}
+		Expect(writes[oldRosterKey].Delete).To(BeTrue())
+		for _, id := range []model.EndpointID{"a", "b"} {
+			Expect(string(writes[rosterKey(rosterPart(id))].Value)).To(ContainSubstring(`"id":"` + string(id) + `"`))
+		}
+		Expect(h.cell.recorder.rosterWrites(h)).To(BeEmpty())
+	})
 })
--- a/holder/records.go
+++ b/holder/records.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hornbeamworks/hornbeam/admission"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -27,12 +29,25 @@
 	// progressPrefix is the prefix of the rows from which the next holder restores
 	// the progress of unfinished jobs.
 	progressPrefix = "progress//"
+	// cellPrefix is the prefix of the other rows of the holder.
+	cellPrefix = "cell//"
 	// QueuesKey is the key of the row with the numbers of waiting jobs.
-	QueuesKey = "cell//queues"
-	rosterKey = "cell//roster"
-	recordKey = "cell//record"
+	QueuesKey = cellPrefix + "queues"
+	recordKey = cellPrefix + "record"
+	// rosterPrefix is the prefix of the rows with the parts of the roster. An older build
+	// has the whole roster in the row oldRosterKey.
+	rosterPrefix = oldRosterKey + "/"
+	oldRosterKey = cellPrefix + "roster"
+	// rosterParts is the number of parts of the roster. A row of the table has at most 64 KB,
+	// and an endpoint takes some 80 bytes.
+	rosterParts = 32
 )
 
+// rosterPart returns the part of the roster that has the endpoint.
+func rosterPart(id model.EndpointID) int { return int(xxhash.Sum64String(string(id)) % rosterParts) }
+
+func rosterKey(part int) string { return rosterPrefix + strconv.Itoa(part) }
+
 // OutcomeKey returns the key of the row with the status of a job that has begun.
 func OutcomeKey(id jobs.ID) string { return outcomePrefix + string(id) }
 
@@ -94,7 +109,7 @@
 	Load *admission.Load `json:"load,omitempty"`
 }
 
-// roster is the row with the endpoints that may run tasks of any epoch.
+// roster is a row with endpoints that may run tasks of any epoch.
 type roster struct {
 	Endpoints []rosterEntry `json:"endpoints"`
 }
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -220,7 +220,7 @@
 	c.commands.routesStale = true
 	if _, listed := c.roster[s.id]; listed {
 		delete(c.roster, s.id)
-		c.recorder.rosterChanged = true
+		c.recorder.markRosterChanged(s.id)
 	}
 	h.Log.Info("endpoint_forgotten", slog.String("endpoint", string(s.id)))
 }
@@ -408,6 +408,6 @@
 	c.planner.SetEndpoint(entry)
 	if _, listed := c.roster[entry.ID]; !listed {
 		c.roster[entry.ID] = rosterEntry{ID: entry.ID, Address: entry.Address, Domain: entry.Domain}
-		c.recorder.rosterChanged = true
+		c.recorder.markRosterChanged(entry.ID)
 	}
 }
--- a/holder/sessions_test.go
+++ b/holder/sessions_test.go
@@ -55,7 +55,7 @@
 		h.Log = logging.Discard()
 		h.cell = &cell{
 			planner: planner.New(1), sessions: map[model.EndpointID]*session{}, roster: map[model.EndpointID]rosterEntry{},
-			recorder: &recorder{}, commands: &commands{},
+			recorder: &recorder{rosterChanged: map[int]bool{}}, commands: &commands{},
 		}
 		for _, id := range []model.EndpointID{"crashed", "cut"} {
 			h.applyEntry(fleet.Endpoint{ID: id, Address: "10.0.0.1:" + string(id), Born: 1})
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,10 +35,12 @@
 
 // restoredCell is the durable state that a new holder has read.
 type restoredCell struct {
-	epoch         uint64
-	jobs          map[jobs.ID]*jobs.Job
-	progress      map[jobs.ID]*jobs.Progress
-	roster        roster
+	epoch    uint64
+	jobs     map[jobs.ID]*jobs.Job
+	progress map[jobs.ID]*jobs.Progress
+	roster   roster
+	// oldRoster is set if a row of an older build has the roster.
+	oldRoster     bool
 	recordVersion storage.RowVersion
 	// feedFrom is the version from which the jobs feed continues.
 	feedFrom storage.RowVersion
@@ -128,6 +131,9 @@
 	}
 	c.inheritedLeaseEnd = h.now.Add(election.LeaseTime - election.VacantTime + h.leaseDurationBound())
 	h.addRoster(r.roster)
+	if r.oldRoster {
+		c.recorder.replaceOldRoster()
+	}
 	c.planner.Restore(r.jobs, r.progress)
 	for id := range r.progress {
 		if r.jobs[id] == nil {
@@ -300,7 +306,7 @@
 		epoch: r.epoch, jobs: map[jobs.ID]*jobs.Job{},
 		progress: map[jobs.ID]*jobs.Progress{},
 	}
-	if err := r.readSingleRows(found); err != nil {
+	if err := r.readCellRows(found); err != nil {
 		return nil, err
 	}
 	if err := r.readJobs(found); err != nil {
@@ -309,22 +315,25 @@
 	return found, r.readProgress(found)
 }
 
-// readSingleRows reads the roster, and the version of the record row.
-func (r *restorer) readSingleRows(found *restoredCell) error {
-	ctx, cancel := context.WithTimeout(r.ctx, scanTimeout)
-	defer cancel()
-	row, err := r.table.Get(ctx, rosterKey)
-	if err == nil {
-		err = json.Unmarshal(row.Value, &found.roster)
-	}
-	if err != nil && !eris.Is(err, storage.ErrNotFound) {
+// readCellRows reads the roster, and the version of the record row.
+func (r *restorer) readCellRows(found *restoredCell) error {
+	rows, err := r.scan(cellPrefix)
+	if err != nil {
 		return err
 	}
-	row, err = r.table.Get(ctx, recordKey)
-	if err != nil && !eris.Is(err, storage.ErrNotFound) {
-		return err
+	for _, row := range rows.Rows {
+		switch {
+		case row.Key == recordKey:
+			found.recordVersion = row.Version
+		case row.Key == oldRosterKey || strings.HasPrefix(row.Key, rosterPrefix):
+			var part roster
+			if err := json.Unmarshal(row.Value, &part); err != nil {
+				return eris.Wrapf(err, "decoding the roster at %s", row.Key)
+			}
+			found.roster.Endpoints = append(found.roster.Endpoints, part.Endpoints...)
+			found.oldRoster = found.oldRoster || row.Key == oldRosterKey
+		}
 	}
-	found.recordVersion = row.Version
 	return nil
 }
 
