--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -252,6 +252,24 @@
 		Expect(commander.started()).To(Equal(2), "the second start had expired")
 	})
 
+	// The clock of an instance that has taken over the address is another one.
+	It("rejects commands whose permission refers to the clock of another incarnation", func() {
+		commander := &fakeCommander{}
+		address := startAgent(commander)
+		peers := peerrpc.NewClient()
+		defer peers.Close()
+		var reading dispatch.ClockReply
+		Expect(peers.Call(context.Background(), address, "Dispatch.ReadClock", dispatch.Empty{}, &reading)).To(Succeed())
+		command := startCommand(1, "e")
+		command.SendBy = reading.Now + int64(time.Hour)
+		batch := dispatch.Batch{Epoch: 1, Incarnation: reading.Incarnation + 1, Commands: []dispatch.Command{command}}
+		Expect(peers.Call(context.Background(), address, "Dispatch.Send", batch, &dispatch.Empty{})).NotTo(Succeed())
+		batch.Incarnation = reading.Incarnation
+		Expect(peers.Call(context.Background(), address, "Dispatch.Send", batch, &dispatch.Empty{})).To(Succeed())
+		Eventually(commander.started, waitTimeout).Should(Equal(1))
+		Consistently(commander.started, 100*time.Millisecond).Should(Equal(1))
+	})
+
 	It("has received no commands when it is unreachable", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
