Take over a cell with rows of the former holder that can't be read

One row of a job's progress, or of the roster, that can't be decoded made each attempt to read the cell fail, so that no instance could take it over and no job of any team ran again.

Cause: readProgress and readCellRows returned the error of one row for all.

Fix: a job whose progress can't be read is held back like one whose own row can't be, until a holder can read it, since done tasks would otherwise run again; a cancelled one needs no progress and ends. Without a part of the roster, the endpoints that are registered or have recorded runs are still known.

--- a/holder/oddrows_test.go
+++ b/holder/oddrows_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/hornbeamworks/hornbeam/election"
 	"github.com/hornbeamworks/hornbeam/holder"
 	"github.com/hornbeamworks/hornbeam/jobs"
+	"github.com/hornbeamworks/hornbeam/platform/platformtest"
 	"github.com/hornbeamworks/hornbeam/storage"
 )
 
@@ -89,3 +92,57 @@
 		Expect(f.checker.Violations()).To(BeEmpty())
 	})
 })
+
+// One such row kept every instance from taking over the cell.
+var _ = Describe("A row of the former holder that can't be read", func() {
+	// run returns a cell with a job that has begun and changes nothing for now.
+	run := func() (*cellFixture, *platformtest.Endpoint, jobs.ID) {
+		f := newCellFixture()
+		e := f.endpoint("first", time.Minute)
+		id := f.submit(1)
+		Eventually(func() int { return f.runsOf("first") }, oddWait, "10ms").Should(Equal(1))
+		Eventually(func() jobs.State { return f.state(id) }, oddWait, "10ms").Should(Equal(jobs.Running))
+		e.SetTaskDuration(20 * time.Millisecond)
+		return f, e, id
+	}
+
+	It("of a job's progress holds back only that job, until it can be read", func() {
+		f, _, id := run()
+		row, err := f.table.Get(context.Background(), "progress//"+string(id))
+		Expect(err).NotTo(HaveOccurred())
+		f.server.PutRaw("progress", string(id), []byte("{"))
+		f.succeed(2)
+		f.completes(f.submit(3), oddWait)
+		Expect(f.state(id)).To(Equal(jobs.Running))
+		f.server.PutRaw("progress", string(id), row.Value)
+		f.succeed(3)
+		f.completes(id, oddWait)
+		Expect(f.checker.Violations()).To(BeEmpty())
+	})
+
+	It("of the progress of a cancelled job does not keep it from ending", func() {
+		f, _, id := run()
+		f.server.PutRaw("progress", string(id), []byte("{"))
+		key := holder.Parts(1).Key(holder.JobsTable, id)
+		row, err := f.table.Get(context.Background(), key)
+		Expect(err).NotTo(HaveOccurred())
+		var job jobs.Job
+		Expect(json.Unmarshal(row.Value, &job)).To(Succeed())
+		job.Cancelled = true
+		f.holder.Deposed()
+		f.server.PutRaw("jobs", string(id), storage.Encode(job))
+		f.succeed(2)
+		Eventually(func() jobs.State { return f.state(id) }, oddWait, "10ms").Should(Equal(jobs.Cancelled))
+		Expect(f.runsOf("first")).To(Equal(1), "no task is started again")
+	})
+
+	It("of the roster leaves the endpoints that are registered", func() {
+		f, _, id := run()
+		for part := range 32 {
+			f.server.PutRaw("cell", "roster/"+strconv.Itoa(part), []byte("["))
+		}
+		f.succeed(2)
+		f.completes(f.submit(3), oddWait)
+		Expect(f.state(id)).To(Equal(jobs.Running))
+	})
+})
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -357,7 +357,9 @@
 		case row.Key == oldRosterKey || strings.HasPrefix(row.Key, rosterPrefix):
 			var part roster
 			if err := json.Unmarshal(row.Value, &part); err != nil {
-				return eris.Wrapf(err, "decoding the roster at %s", row.Key)
+				// Endpoints that are registered or have recorded runs are known without it.
+				r.h.Log.Error("roster_unreadable", slog.String("key", row.Key), slog.Any("error", err))
+				continue
 			}
 			found.roster.Endpoints = append(found.roster.Endpoints, part.Endpoints...)
 			found.oldRoster = found.oldRoster || row.Key == oldRosterKey
@@ -405,6 +407,16 @@
 	return nil
 }
 
+// holdBack leaves a job to a holder that can read its progress: without it, tasks that are
+// done would run again. A cancelled job needs none.
+func (r *restorer) holdBack(found *restoredCell, id jobs.ID, key string, err error) {
+	r.h.Log.Error("progress_unreadable", slog.String("id", string(id)), slog.String("key", key), slog.Any("error", err))
+	if job := found.jobs[id]; job != nil && !job.Cancelled {
+		delete(found.jobs, id)
+		found.unreadable[id] = true
+	}
+}
+
 // readProgress reads the progress of the jobs that have been read.
 func (r *restorer) readProgress(found *restoredCell) error {
 	rows, err := r.scan(progressPrefix)
@@ -415,14 +427,20 @@
 	parts := map[jobs.ID]map[int]*jobs.Progress{}
 	for _, row := range rows.Rows {
 		var progress jobs.Progress
-		if err := json.Unmarshal(row.Value, &progress); err != nil {
-			return eris.Wrapf(err, "decoding the progress at %s", row.Key)
-		}
+		err := json.Unmarshal(row.Value, &progress)
 		if id, isEnds := endsOf(row.Key); isEnds {
-			found.ends[id] = &progress
+			if err != nil {
+				r.holdBack(found, id, row.Key, err)
+			} else {
+				found.ends[id] = &progress
+			}
 			continue
 		}
 		id, part, isPart := progressPartOf(row.Key)
+		if err != nil {
+			r.holdBack(found, id, row.Key, err)
+			progress = jobs.Progress{}
+		}
 		if !isPart {
 			found.progress[id] = &progress
 			continue
