Start no task on a view of the registry that is older than 1.4 s

DRAIN allows 2 s.

Fix: the same bound for the registry. A read waits 0.4 s for a change, so that one read without a response does not reach the bound.

Evidence: integration/cell with real processes, whose registry feed gets no response while an endpoint begins to leave: before, starts went on for the 6 s of the test; now the last one comes within 2 s. Two tests of the holder for the decision and for a recorded start.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -133,6 +133,8 @@
 	// jobsReadAt is when the last applied read of the jobs table was requested: the
 	// planner's jobs are at least as recent.
 	jobsReadAt time.Time
+	// registryReadAt is the same for the registry.
+	registryReadAt time.Time
 	// viewOld is set while the planner's view is too old to start tasks.
 	viewOld bool
 	// inheritedLeaseEnd is the time by which every endpoint lease that a
@@ -232,10 +234,12 @@
 func (h *Holder) mayAct() bool { return h.now.Before(h.actUntil) }
 
 // viewRecent reports whether the planner's view is recent enough to start tasks: a job
-// whose cancel has been acknowledged may still seem to wait, and a failure domain that has
-// been evacuated to be in use.
+// whose cancel has been acknowledged may still seem to wait, a failure domain that has
+// been evacuated to be in use, and an endpoint that leaves to stay.
 func (h *Holder) viewRecent() bool {
-	return h.now.Sub(h.cell.jobsReadAt) <= maxJobsAge && h.now.Sub(h.operatorsReadAt) <= maxOperatorsAge
+	c := h.cell
+	return h.now.Sub(c.jobsReadAt) <= maxJobsAge && h.now.Sub(c.registryReadAt) <= maxRegistryAge &&
+		h.now.Sub(h.operatorsReadAt) <= maxOperatorsAge
 }
 
 // executePlan sends the plan's stops, queues its advice requests, and passes its
--- a/holder/runcommands_test.go
+++ b/holder/runcommands_test.go
@@ -34,7 +34,7 @@
 	h.Start = func(...duty.Runner) {}
 	h.MaxLease = 10 * time.Second
 	h.cell = &cell{
-		ctx: ctx, epoch: 1, planner: planner.New(1), cleaner: &cleaner{}, jobsReadAt: h.actUntil,
+		ctx: ctx, epoch: 1, planner: planner.New(1), cleaner: &cleaner{}, jobsReadAt: h.actUntil, registryReadAt: h.actUntil,
 		sessions: map[model.EndpointID]*session{}, roster: map[model.EndpointID]rosterEntry{},
 	}
 	h.cell.commands = newCommands(h)
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -372,6 +372,7 @@
 			}
 		}
 	}
+	c.registryReadAt = m.update.RequestedAt
 }
 
 func (h *Holder) markEntryMissing(id model.EndpointID) {
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -43,6 +43,12 @@
 	maxOperatorsAge = 4 * time.Second
 	// registryPause is the least time between two reads of the registry feed.
 	registryPause = 300 * time.Millisecond
+	// registryWait is how long a read of the registry feed waits for a change.
+	registryWait = 400 * time.Millisecond
+	// maxRegistryAge is the same for the registry: a task may start up to 2 s after the
+	// table has accepted that its endpoint leaves. One read without a response does not
+	// reach it.
+	maxRegistryAge = 1400 * time.Millisecond
 )
 
 // restoredCell is the durable state that a new holder has read.
@@ -193,7 +199,7 @@
 	jobsFeed.Sink = func(u feed.Update) { h.post(jobsMessage{c.epoch, u}) }
 	registry := common
 	registry.ID, registry.Table, registry.Prefixes = "registry_feed", h.Registry.RegistryTable(), []string{h.Registry.RegistryTable() + "//"}
-	registry.Pause = registryPause
+	registry.Pause, registry.Wait = registryPause, registryWait
 	registry.Sink = func(u feed.Update) { h.post(registryMessage{c.epoch, u}) }
 	for _, o := range []feed.Options{jobsFeed, registry} {
 		c.start(h, feed.New(c.ctx, o))
--- a/holder/viewage_test.go
+++ b/holder/viewage_test.go
@@ -60,6 +60,43 @@
 	})
 })
 
+// DRAIN: an endpoint that leaves could get starts for 2.7 s after the table had accepted that.
+var _ = Describe("While the last read of the registry is too old", func() {
+	step := jobs.Step{Count: 1, Size: model.Resources{model.CPU: 1000}, Estimate: time.Second}
+	read := func(h *Holder, changes ...storage.Change) {
+		registryMessage{h.cell.epoch, feed.Update{RequestedAt: h.now, Changes: changes}}.apply(h)
+	}
+
+	It("nothing is decided, until the next read", func(ctx SpecContext) {
+		h := newDecidingHolder(ctx)
+		read(h)
+		h.advance(maxRegistryAge + time.Millisecond)
+		h.readJobs(&jobs.Job{ID: "a", Team: "red", Queue: testQueue, Steps: []jobs.Step{step}, Accepted: 1})
+		h.runDue()
+		Expect(h.cell.planner.State("a")).To(Equal(jobs.Queued))
+		read(h)
+		h.runDue()
+		Expect(h.cell.planner.State("a")).To(Equal(jobs.Running))
+	})
+
+	It("a recorded start waits, and is not sent to an endpoint that the next read shows to leave", func(ctx SpecContext) {
+		h := newDecidingHolder(ctx)
+		read(h)
+		Expect(h.decideStarts("a", step)).To(HaveLen(1))
+		h.advance(maxRegistryAge + time.Millisecond)
+		recordedMessage{1}.apply(h)
+		h.runDue()
+		Expect(h.sentStarts()).To(BeEmpty())
+		leaving := testEntry("e", 16)
+		leaving.Leaving = true
+		h.applyEntry(leaving)
+		read(h)
+		h.runDue()
+		Expect(h.sentStarts()).To(BeEmpty())
+		Expect(h.cell.recorder.recordedStarts).To(BeEmpty())
+	})
+})
+
 // readJobs applies a read of the jobs feed that was requested now.
 func (h *Holder) readJobs(rows ...*jobs.Job) {
 	update := feed.Update{RequestedAt: h.now, Version: 1}
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -190,6 +190,26 @@
 		Expect(s.Checker.Violations()).To(BeEmpty())
 	})
 
+	// DRAIN: a holder whose feed of the registry got no responses started tasks on an endpoint
+	// that was leaving.
+	It("starts no task on an endpoint 2 s after it began to leave, though the registry feed does not respond", func() {
+		s := harness.StartSite(2, 1, work)
+		s.Endpoints[0].Resize(2)
+		Expect(s.Submit(0, id(0), 200)).To(Equal(http.StatusOK))
+		Eventually(func() int { return startsOf(s, id(0)) }, harness.WaitTimeout).Should(BeNumerically(">=", 3))
+		s.Table.HoldFeed("servers", true)
+		s.Endpoints[0].Register("draining")
+		latest := time.Now().Add(2 * time.Second)
+		time.Sleep(6 * time.Second)
+		s.Table.HoldFeed("servers", false)
+		s.Endpoints[0].Register("ready")
+		began := startsOf(s, id(0))
+		Eventually(func() int { return startsOf(s, id(0)) }, harness.WaitTimeout).Should(BeNumerically(">", began))
+		for _, r := range s.Checker.Runs()[:began] {
+			Expect(r.Began).To(BeTemporally("<", latest), r.Task)
+		}
+	})
+
 	// Each call took its whole time on one silent connection after the other.
 	It("serves within 3 s after all open connections to the table have gone silent, and starts no task of a cancelled job", func() {
 		s := harness.StartSite(3, 1, work)
