Log what the acknowledgement of a cancel rests on

Tasks of jobs were started after callers had got 200 or 410 for the cancel of the job. The logs had the code of the answer only, so that an acknowledgement without effect could not be told from a cancel that the holder had missed.

The tests' table keeps a version for each row and compares it with the one a write requires; it had checked only that a row did not exist. The log test fails without the fields. go test -race ./front passes.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -27,6 +27,39 @@
 	return f.recordAnswer("cancel", call, &answer, began)
 }
 
+// Basis is what the acknowledgement of a cancel rests on.
+type Basis string
+
+// The bases of acknowledgements.
+const (
+	// CancelledNow means that the call has marked the job's row as cancelled.
+	CancelledNow Basis = "cancelled_now"
+	// CancelledBefore means that the job's row was marked before the call.
+	CancelledBefore Basis = "cancelled_before"
+	// Ended means that the status of a job without a row was returned.
+	Ended Basis = "ended"
+	// BarredNow means that the call has kept the job from being accepted, BarredBefore that
+	// an earlier one has.
+	BarredNow    Basis = "barred_now"
+	BarredBefore Basis = "barred_before"
+	// OtherOwner means that the job belongs to another team or queue.
+	OtherOwner Basis = "other_owner"
+	// ImpossibleID means that no job can have the ID.
+	ImpossibleID Basis = "impossible_id"
+)
+
+// cancelledAnswer returns the acknowledgement of a job whose row is marked as cancelled.
+func cancelledAnswer(basis Basis, version storage.RowVersion) Answer {
+	return Answer{Code: result.OK, State: jobs.Cancelled, Basis: basis, Version: version}
+}
+
+// noJobAnswer returns the answer to a caller who has no job with the ID.
+func (f *Front) noJobAnswer(basis Basis, version storage.RowVersion) Answer {
+	answer := f.refuse(result.UnknownRequest, "there is no such job")
+	answer.Basis, answer.Version = basis, version
+	return *answer
+}
+
 // cancelAttempts bounds the attempts to cancel a job that is being accepted.
 const cancelAttempts = 2
 
@@ -59,23 +92,23 @@
 		return *w.f.refuse(result.StoreUnavailable, "the job's row can't be read"), true
 	}
 	if job.Team != wanted.Team || job.Queue != wanted.Queue {
-		return *w.f.refuse(result.UnknownRequest, "there is no such job"), true
+		return w.f.noJobAnswer(OtherOwner, row.Version), true
 	}
 	if job.Cancelled {
-		return Answer{Code: result.OK, State: jobs.Cancelled}, true
+		return cancelledAnswer(CancelledBefore, row.Version), true
 	}
 	job.Cancelled = true
 	return w.writeCancel(key, row.Version, &job), true
 }
 
 func (w *submissionWriter) writeCancel(key string, version storage.RowVersion, job *jobs.Job) Answer {
-	err := w.commit(storage.Txn{
+	written, err := w.commit(storage.Txn{
 		Checks: []storage.Check{{Key: key, Version: version}},
 		Writes: []storage.Write{{Key: key, Value: storage.Encode(job)}},
 	}, false)
 	switch {
 	case err == nil:
-		return Answer{Code: result.OK, State: jobs.Cancelled}
+		return cancelledAnswer(CancelledNow, written)
 	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict):
 		// An earlier attempt or another caller has cancelled the job, or the job
 		// has ended.
@@ -87,28 +120,34 @@
 
 // cancelEnded returns the answer for a job whose row has been removed or changed.
 func (w *submissionWriter) cancelEnded(wanted *jobs.Job) Answer {
-	status, answer := w.f.loadStatus(w.f.ctx, wanted.ID)
-	if answer != nil {
-		return *answer
+	found := w.f.loadStatus(w.f.ctx, wanted.ID)
+	if found.answer != nil {
+		return *found.answer
 	}
-	return w.endedAnswer(wanted, status)
+	return w.endedAnswer(wanted, found)
 }
 
-func (w *submissionWriter) endedAnswer(wanted *jobs.Job, status jobs.Status) Answer {
-	if status.Barred || !status.BelongsTo(wanted.Team, wanted.Queue) {
-		return *w.f.refuse(result.UnknownRequest, "there is no such job")
+func (w *submissionWriter) endedAnswer(wanted *jobs.Job, found statusResult) Answer {
+	switch {
+	case !found.status.BelongsTo(wanted.Team, wanted.Queue):
+		return w.f.noJobAnswer(OtherOwner, found.version)
+	case found.status.Barred:
+		return w.f.noJobAnswer(BarredBefore, found.version)
+	default:
+		return Answer{Code: result.OK, State: found.status.State, Basis: Ended, Version: found.version}
 	}
-	return Answer{Code: result.OK, State: status.State}
 }
 
 // cancelAbsent cancels a job that has no row: it has ended, or has not been accepted.
 func (w *submissionWriter) cancelAbsent(wanted *jobs.Job) (answer Answer, decided bool) {
-	status, unknown := w.f.loadStatus(w.f.ctx, wanted.ID)
+	found := w.f.loadStatus(w.f.ctx, wanted.ID)
 	switch {
-	case unknown == nil:
-		return w.endedAnswer(wanted, status), true
-	case unknown.Code != result.UnknownRequest || wanted.ID.Problem() != "":
-		return *unknown, true
+	case found.answer == nil:
+		return w.endedAnswer(wanted, found), true
+	case found.answer.Code != result.UnknownRequest:
+		return *found.answer, true
+	case wanted.ID.Problem() != "":
+		return w.f.noJobAnswer(ImpossibleID, 0), true
 	}
 	return w.bar(wanted)
 }
@@ -121,14 +160,14 @@
 	barred := storage.Encode(jobs.Status{
 		State: jobs.Cancelled, Barred: true, Team: string(wanted.Team), Queue: wanted.Queue, Ended: w.f.Wall.Now().UnixMilli(),
 	})
-	err := w.commit(storage.Txn{
+	written, err := w.commit(storage.Txn{
 		Checks: []storage.Check{{Key: accepted}},
 		// The pruner finds jobs by their outcomes.
 		Writes: []storage.Write{{Key: accepted, Value: barred}, {Key: holder.OutcomeKey(wanted.ID), Value: barred}},
 	}, false)
 	switch {
 	case err == nil:
-		return *w.f.refuse(result.UnknownRequest, "there is no such job, and it will not be accepted"), true
+		return w.f.noJobAnswer(BarredNow, written), true
 	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict):
 		return Answer{}, false
 	default:
--- a/front/front.go
+++ b/front/front.go
@@ -63,6 +63,10 @@
 	State jobs.State
 	// StateReason is why the job has failed or was cancelled. It is logged, not sent.
 	StateReason string
+	// Basis is what the acknowledgement of a cancel rests on, and Version the version of the
+	// row that shows it. They are logged, not sent.
+	Basis   Basis
+	Version storage.RowVersion
 	// Waiting is the number of waiting jobs, if the call is about a queue.
 	Waiting int
 	// RetryAfter is the time after which to retry; 0 where a retry would not help.
@@ -212,6 +216,9 @@
 	if a.StateReason != "" {
 		attrs = append(attrs, slog.String("state_reason", a.StateReason))
 	}
+	if a.Basis != "" {
+		attrs = append(attrs, slog.String("basis", string(a.Basis)), slog.Uint64("version", uint64(a.Version)))
+	}
 	f.Log.Info(kind, attrs...)
 	return *a
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/hornbeamworks/hornbeam/admission"
 	"github.com/hornbeamworks/hornbeam/catalog"
@@ -30,10 +31,13 @@
 // which determines whether the write takes effect and the error that it returns.
 type scriptedTable struct {
 	storage.FeedTable
-	mu     sync.Mutex
-	rows   map[string][]byte
-	script []writeOutcome
-	writes int
+	mu   sync.Mutex
+	rows map[string][]byte
+	// versions contains the version of each row, version is that of the last write.
+	versions map[string]storage.RowVersion
+	version  storage.RowVersion
+	script   []writeOutcome
+	writes   int
 	// refusing is set while all writes are refused.
 	refusing bool
 	proceed  chan struct{}
@@ -57,10 +61,10 @@
 	t.late = nil
 }
 
-// conflicts reports whether a row exists that must not exist.
+// conflicts reports whether a row has another version than the transaction requires.
 func (t *scriptedTable) conflicts(txn storage.Txn) bool {
 	for _, c := range txn.Checks {
-		if _, found := t.rows[c.Key]; found && c.Version == 0 {
+		if t.versions[c.Key] != c.Version {
 			return true
 		}
 	}
@@ -68,8 +72,14 @@
 }
 
 func (t *scriptedTable) apply(txn storage.Txn) {
+	t.version++
 	for _, w := range txn.Writes {
-		t.rows[w.Key] = w.Value
+		if w.Delete {
+			delete(t.rows, w.Key)
+			delete(t.versions, w.Key)
+			continue
+		}
+		t.rows[w.Key], t.versions[w.Key] = w.Value, t.version
 	}
 }
 
@@ -89,7 +99,7 @@
 func (t *scriptedTable) set(key string, value []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rows[key] = value
+	t.apply(storage.Txn{Writes: []storage.Write{{Key: key, Value: value}}})
 }
 
 func (t *scriptedTable) has(key string) bool {
@@ -113,16 +123,16 @@
 	if !found {
 		return storage.Row{}, storage.ErrNotFound
 	}
-	return storage.Row{Key: key, Value: value, Version: 1}, nil
+	return storage.Row{Key: key, Value: value, Version: t.versions[key]}, nil
 }
 
-func (t *scriptedTable) Commit(_ context.Context, txn storage.Txn) error {
+func (t *scriptedTable) Write(_ context.Context, txn storage.Txn) (storage.RowVersion, error) {
 	<-t.proceed
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.writes++
 	if t.refusing {
-		return storage.ErrRefused
+		return 0, storage.ErrRefused
 	}
 	next := writeOutcome{applied: true}
 	if len(t.script) > 0 {
@@ -132,7 +142,7 @@
 		t.deliverLocked()
 	}
 	if next.err == nil && t.conflicts(txn) {
-		return storage.ErrConflict
+		return 0, storage.ErrConflict
 	}
 	if next.applied {
 		t.apply(txn)
@@ -140,7 +150,7 @@
 	if next.late {
 		t.late = append(t.late, txn)
 	}
-	return next.err
+	return t.version, next.err
 }
 
 // fixedClock is a table's clock that stands still.
@@ -168,8 +178,11 @@
 func (noListener) Confirmed(time.Time)                     {}
 
 // startFront starts a front that uses the table.
-func startFront(t *scriptedTable) *front.Front {
-	t.rows = map[string][]byte{}
+func startFront(t *scriptedTable) *front.Front { return startLoggingFront(t, logging.Discard()) }
+
+// startLoggingFront starts a front that uses the table and the log.
+func startLoggingFront(t *scriptedTable, log *logging.Logger) *front.Front {
+	t.rows, t.versions = map[string][]byte{}, map[string]storage.RowVersion{}
 	if t.proceed == nil {
 		t.proceed = make(chan struct{})
 		close(t.proceed)
@@ -177,7 +190,7 @@
 	v := view.New(fakeDecoder{}, noListener{}, clock.Boot{}, logging.Discard())
 	v.Update(feed.Update{Full: true, Changes: []storage.Change{{}}, RequestedAt: clock.Boot{}.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
-	f := front.New(ctx, front.Options{Parts: 1, View: v, Table: t, TableClock: fixedClock(100_000), Clock: clock.Boot{}, Wall: clock.System{}, Log: logging.Discard()})
+	f := front.New(ctx, front.Options{Parts: 1, View: v, Table: t, TableClock: fixedClock(100_000), Clock: clock.Boot{}, Wall: clock.System{}, Log: log})
 	group := duty.NewGroup(ctx)
 	group.Start(f.Duties()...)
 	DeferCleanup(func() {
@@ -461,6 +474,53 @@
 	})
 })
 
+var _ = Describe("The log line of a cancel", func() {
+	var (
+		lines *gbytes.Buffer
+		t     *scriptedTable
+		f     *front.Front
+	)
+	BeforeEach(func() {
+		lines = gbytes.NewBuffer()
+		log, err := logging.New(lines, "test", logging.Settings{Level: "info"}, clock.System{})
+		Expect(err).NotTo(HaveOccurred())
+		t = &scriptedTable{}
+		f = startLoggingFront(t, log)
+	})
+	expectLine := func(basis front.Basis, version storage.RowVersion) {
+		GinkgoHelper()
+		Expect(lines).To(gbytes.Say(`basis=%s .*event=cancel .*version=%d view_age`, basis, version))
+	}
+
+	// Tasks of jobs were started after their cancels had been acknowledged, and the logs did
+	// not show what the acknowledgements rested on.
+	It("says what an acknowledgement rests on, with the version of the row", func() {
+		Expect(submit(f, "a", "key").Code).To(Equal(result.OK))
+		Expect(cancelJob(f, "a", "other").Code).To(Equal(result.UnknownRequest))
+		expectLine(front.OtherOwner, 1)
+		Expect(cancelJob(f, "a", "key").Code).To(Equal(result.OK))
+		expectLine(front.CancelledNow, 2)
+		Expect(cancelJob(f, "a", "key").Code).To(Equal(result.OK))
+		expectLine(front.CancelledBefore, 2)
+		t.set(holder.OutcomeKey("b"), storage.Encode(jobs.Status{State: jobs.Completed, Team: "red", Queue: "q"}))
+		Expect(cancelJob(f, "b", "key").Code).To(Equal(result.OK))
+		expectLine(front.Ended, 3)
+		Expect(cancelJob(f, "c", "key").Code).To(Equal(result.UnknownRequest))
+		expectLine(front.BarredNow, 4)
+		Expect(cancelJob(f, "c", "key").Code).To(Equal(result.UnknownRequest))
+		expectLine(front.BarredBefore, 4)
+		Expect(cancelJob(f, "a.b", "key").Code).To(Equal(result.UnknownRequest))
+		expectLine(front.ImpossibleID, 0)
+	})
+
+	It("names no basis for a refusal", func() {
+		t.refuseWrites(true)
+		Expect(cancelJob(f, "a", "key").Code).To(Equal(result.StoreUnavailable))
+		Expect(lines).To(gbytes.Say("event=cancel"))
+		Expect(string(lines.Contents())).NotTo(ContainSubstring("basis="))
+	})
+})
+
 var _ = Describe("A submission while the table refuses writes", func() {
 	// The table answered probes, so that each caller was told to return after a second.
 	It("is refused with a time to return that grows with the outage", func() {
--- a/front/status.go
+++ b/front/status.go
@@ -41,9 +41,12 @@
 	reply chan statusResult
 }
 
+// statusResult is the status of a job with the version of its row, or the answer to a call
+// that is refused.
 type statusResult struct {
-	status jobs.Status
-	answer *Answer
+	status  jobs.Status
+	version storage.RowVersion
+	answer  *Answer
 }
 
 func newReaders(f *Front) []*duty.Duty[*statusRequest] {
@@ -51,8 +54,7 @@
 	for number := range readerCount {
 		all = append(all, duty.NewCalling("reader"+strconv.Itoa(number), readerRing, duty.HandlerFunc[*statusRequest](func(batch []*statusRequest) time.Duration {
 			for _, request := range batch {
-				status, answer := f.loadStatus(f.ctx, request.id)
-				request.reply <- statusResult{status, answer}
+				request.reply <- f.loadStatus(f.ctx, request.id)
 			}
 			return duty.Never
 		})))
@@ -117,7 +119,7 @@
 
 // loadStatus reads the status of a job from the table: from its outcome row once the
 // job has begun, and before that from its accepted row.
-func (f *Front) loadStatus(parent context.Context, id jobs.ID) (jobs.Status, *Answer) {
+func (f *Front) loadStatus(parent context.Context, id jobs.ID) statusResult {
 	ctx, cancel := context.WithTimeout(parent, readTimeout)
 	defer cancel()
 	var status jobs.Status
@@ -126,19 +128,19 @@
 		row, err = f.Table.Get(ctx, f.Parts.Key(holder.AcceptedTable, id))
 	}
 	if eris.Is(err, storage.ErrNotFound) {
-		return status, f.refuse(result.UnknownRequest, "there is no such job")
+		return statusResult{answer: f.refuse(result.UnknownRequest, "there is no such job")}
 	}
 	if err != nil {
-		return status, f.refuse(result.StoreUnavailable, err.Error())
+		return statusResult{answer: f.refuse(result.StoreUnavailable, err.Error())}
 	}
 	if err := json.Unmarshal(row.Value, &status); err != nil {
 		f.Log.Error("status_unreadable", slog.String("key", row.Key), slog.Any("error", err))
-		return status, f.refuse(result.StoreUnavailable, "the job's status can't be read")
+		return statusResult{answer: f.refuse(result.StoreUnavailable, "the job's status can't be read")}
 	}
 	if status.State.Final() {
 		f.finalStatuses.add(id, status)
 	}
-	return status, nil
+	return statusResult{status: status, version: row.Version}
 }
 
 // queuesCache caches the numbers of waiting jobs for queuesCacheTime.
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -161,12 +161,13 @@
 	for _, s := range batch {
 		accepted = append(accepted, s.job)
 	}
-	err := w.write(accepted, false)
+	_, err := w.write(accepted, false)
 	if len(batch) > 1 && (eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict)) {
 		// An attempt without a reply may have accepted all of them. It may have been
 		// one of the table's own, which a relayed table does not report.
 		for _, s := range batch {
-			s.reply <- w.answer(s.job, w.write([]*jobs.Job{s.job}, true))
+			_, err := w.write([]*jobs.Job{s.job}, true)
+			s.reply <- w.answer(s.job, err)
 		}
 		return
 	}
@@ -177,7 +178,7 @@
 
 // write creates the rows of the jobs on condition that none exists. ambiguous is set
 // when an earlier write of them may have taken effect.
-func (w *submissionWriter) write(list []*jobs.Job, ambiguous bool) error {
+func (w *submissionWriter) write(list []*jobs.Job, ambiguous bool) (storage.RowVersion, error) {
 	var txn storage.Txn
 	for _, job := range list {
 		accepted := w.f.Parts.Key(holder.AcceptedTable, job.ID)
@@ -193,14 +194,13 @@
 // conflict with the rows of that attempt.
 var errAmbiguousConflict = eris.New("conflict after an attempt without a reply")
 
-// commit retries the write until it gets a reply, up to writeAttempts. ErrUnavailable
-// means that it got none and that the write, or an earlier ambiguous one, may take
-// effect.
-func (w *submissionWriter) commit(txn storage.Txn, ambiguous bool) error {
-	var err error
+// commit retries the write until it gets a reply, up to writeAttempts, and returns the
+// table's version after it. ErrUnavailable means that it got no reply and that the write,
+// or an earlier ambiguous one, may take effect.
+func (w *submissionWriter) commit(txn storage.Txn, ambiguous bool) (version storage.RowVersion, err error) {
 	for range writeAttempts {
 		ctx, cancel := context.WithTimeout(w.f.ctx, writeTimeout)
-		err = w.f.Table.Commit(ctx, txn)
+		version, err = w.f.Table.Write(ctx, txn)
 		cancel()
 		if !eris.Is(err, storage.ErrUnavailable) {
 			break
@@ -218,17 +218,17 @@
 	case eris.Is(err, storage.ErrConflict):
 		w.fire(evReply)
 		if ambiguous {
-			return errAmbiguousConflict
+			return 0, errAmbiguousConflict
 		}
 	case eris.Is(err, storage.ErrRefused):
 		w.fire(evNoReply)
 		if ambiguous {
-			return eris.Wrapf(storage.ErrUnavailable, "an earlier try got no answer; then: %v", err)
+			return 0, eris.Wrapf(storage.ErrUnavailable, "an earlier try got no answer; then: %v", err)
 		}
 	default:
 		w.fire(evNoReply)
 	}
-	return err
+	return version, err
 }
 
 func (w *submissionWriter) fire(event chart.Event) { tableChart.Fire(&w.state, event, w) }
@@ -256,12 +256,12 @@
 
 // duplicateAnswer returns the answer to a submission with an existing id.
 func (w *submissionWriter) duplicateAnswer(job *jobs.Job) Answer {
-	status, answer := w.f.loadStatus(w.f.ctx, job.ID)
-	if answer != nil {
+	found := w.f.loadStatus(w.f.ctx, job.ID)
+	if found.answer != nil {
 		// A row with this id exists, but its owner can't be determined.
 		return *w.f.refuse(result.OutcomeUnknown, "the job's row could not be read")
 	}
-	return w.f.knownAnswer(job, status)
+	return w.f.knownAnswer(job, found.status)
 }
 
 // knownAnswer returns the answer to a submission of a job whose id has been accepted with
