Acknowledge a cancel only by a cancelled row or a final state

Callers got 200 with the state queued or running for a cancel that had changed nothing, and the job ran to its end.

A cancel read the job's row and, if there was none, the job's status. A submission that took effect between the two reads was found by the second one, and its state was returned as the answer. A slow table makes the time between the reads long, and a caller who cancels a submission that had no answer makes it likely. After a conflict, the status was returned in the same way; there the conflict was mostly with an earlier attempt of the same write, which a relayed table does not report, so that only the state shown was wrong.

A status that is not final, and a conflict, now lead to another attempt, which reads the row again. Each attempt without a decision has seen the row being created, marked or deleted, so that three are enough; after them, or once the caller has stopped waiting, the outcome is unknown (504). Before, two attempts were made whatever time the first had taken, while the writer's other callers waited.

Four of the six new tests fail on the code before (go test -race ./front: 200 with the state queued instead of a cancelled row or 504), among them the submission between the two reads; the other two guard the answer from the final state and the end of the attempts with the caller's deadline. All pass now.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -23,7 +23,7 @@
 		return f.recordAnswer("cancel", call, refused, began)
 	}
 	job := &jobs.Job{ID: call.id, Team: call.team, Queue: call.queue.Name}
-	answer := f.submitAndWait(call, &submission{job: job, cancel: true, reply: make(chan Answer, 1)})
+	answer := f.submitAndWait(call, &submission{job: job, cancel: true, deadline: call.deadline, reply: make(chan Answer, 1)})
 	return f.recordAnswer("cancel", call, &answer, began)
 }
 
@@ -36,7 +36,7 @@
 	CancelledNow Basis = "cancelled_now"
 	// CancelledBefore means that the job's row was marked before the call.
 	CancelledBefore Basis = "cancelled_before"
-	// Ended means that the status of a job without a row was returned.
+	// Ended means that a final state of the job is recorded.
 	Ended Basis = "ended"
 	// BarredNow means that the call has kept the job from being accepted, BarredBefore that
 	// an earlier one has.
@@ -60,20 +60,26 @@
 	return *answer
 }
 
-// cancelAttempts bounds the attempts to cancel a job that is being accepted.
-const cancelAttempts = 2
+// cancelAttempts bounds the attempts to cancel a job whose rows change. A job's row is created,
+// marked and deleted once each, so that the third attempt finds it marked or deleted.
+const cancelAttempts = 3
 
-func (w *submissionWriter) cancel(wanted *jobs.Job) Answer {
+// cancel tries to cancel the job until its rows show the answer. No attempt begins once the
+// caller has stopped waiting, since the writer's other callers wait for it.
+func (w *submissionWriter) cancel(s *submission) Answer {
 	for range cancelAttempts {
-		if answer, decided := w.tryCancel(wanted); decided {
+		if answer, decided := w.tryCancel(s.job); decided {
 			return answer
 		}
+		if time.Now().After(s.deadline) {
+			break
+		}
 	}
-	return *w.f.refuse(result.OutcomeUnknown, "the job is being accepted")
+	return *w.f.refuse(result.OutcomeUnknown, "the job's rows change")
 }
 
 // tryCancel marks the job's row as cancelled, or bars a job that has not been accepted. It
-// returns false if the job has been accepted in the meantime.
+// returns false if the job's rows have changed in the meantime.
 func (w *submissionWriter) tryCancel(wanted *jobs.Job) (answer Answer, decided bool) {
 	ctx, cancel := context.WithTimeout(w.f.ctx, writeTimeout)
 	defer cancel()
@@ -98,43 +104,38 @@
 		return cancelledAnswer(CancelledBefore, row.Version), true
 	}
 	job.Cancelled = true
-	return w.writeCancel(key, row.Version, &job), true
+	return w.writeCancel(key, row.Version, &job)
 }
 
-func (w *submissionWriter) writeCancel(key string, version storage.RowVersion, job *jobs.Job) Answer {
+// writeCancel returns false if the row has been changed or removed. An attempt without a reply
+// may have done so.
+func (w *submissionWriter) writeCancel(key string, version storage.RowVersion, job *jobs.Job) (answer Answer, decided bool) {
 	written, err := w.commit(storage.Txn{
 		Checks: []storage.Check{{Key: key, Version: version}},
 		Writes: []storage.Write{{Key: key, Value: storage.Encode(job)}},
 	}, false)
 	switch {
 	case err == nil:
-		return cancelledAnswer(CancelledNow, written)
+		return cancelledAnswer(CancelledNow, written), true
 	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict):
-		// An earlier attempt or another caller has cancelled the job, or the job
-		// has ended.
-		return w.cancelEnded(job)
+		return Answer{}, false
 	default:
-		return w.failureAnswer(err)
-	}
-}
-
-// cancelEnded returns the answer for a job whose row has been removed or changed.
-func (w *submissionWriter) cancelEnded(wanted *jobs.Job) Answer {
-	found := w.f.loadStatus(w.f.ctx, wanted.ID)
-	if found.answer != nil {
-		return *found.answer
+		return w.failureAnswer(err), true
 	}
-	return w.endedAnswer(wanted, found)
 }
 
-func (w *submissionWriter) endedAnswer(wanted *jobs.Job, found statusResult) Answer {
+// endedAnswer returns the answer for a job without a row that has a status. It returns false
+// if the status is not final: the job has been accepted since its row was read.
+func (w *submissionWriter) endedAnswer(wanted *jobs.Job, found statusResult) (answer Answer, decided bool) {
 	switch {
 	case !found.status.BelongsTo(wanted.Team, wanted.Queue):
-		return w.f.noJobAnswer(OtherOwner, found.version)
+		return w.f.noJobAnswer(OtherOwner, found.version), true
 	case found.status.Barred:
-		return w.f.noJobAnswer(BarredBefore, found.version)
+		return w.f.noJobAnswer(BarredBefore, found.version), true
+	case !found.status.State.Final():
+		return Answer{}, false
 	default:
-		return Answer{Code: result.OK, State: found.status.State, Basis: Ended, Version: found.version}
+		return Answer{Code: result.OK, State: found.status.State, Basis: Ended, Version: found.version}, true
 	}
 }
 
@@ -143,7 +144,7 @@
 	found := w.f.loadStatus(w.f.ctx, wanted.ID)
 	switch {
 	case found.answer == nil:
-		return w.endedAnswer(wanted, found), true
+		return w.endedAnswer(wanted, found)
 	case found.answer.Code != result.UnknownRequest:
 		return *found.answer, true
 	case wanted.ID.Problem() != "":
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -41,8 +41,10 @@
 	// refusing is set while all writes are refused.
 	refusing bool
 	proceed  chan struct{}
-	// late are the writes that take effect at the next call of deliver.
-	late []storage.Txn
+	// late are the writes that take effect at the next call of deliver, or once a read has
+	// not found the row deliverAtMiss.
+	late          []storage.Txn
+	deliverAtMiss string
 }
 
 // deliver makes the late writes take effect whose conditions hold.
@@ -102,6 +104,12 @@
 	t.apply(storage.Txn{Writes: []storage.Write{{Key: key, Value: value}}})
 }
 
+func (t *scriptedTable) drop(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(storage.Txn{Writes: []storage.Write{{Key: key, Delete: true}}})
+}
+
 func (t *scriptedTable) has(key string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,6 +117,15 @@
 	return found
 }
 
+// jobCancelled reports whether the job's row is marked as cancelled.
+func (t *scriptedTable) jobCancelled(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var job jobs.Job
+	Expect(json.Unmarshal(t.rows["jobs//"+id], &job)).To(Succeed())
+	return job.Cancelled
+}
+
 type writeOutcome struct {
 	applied bool
 	err     error
@@ -121,6 +138,9 @@
 	defer t.mu.Unlock()
 	value, found := t.rows[key]
 	if !found {
+		if key == t.deliverAtMiss {
+			t.deliverLocked()
+		}
 		return storage.Row{}, storage.ErrNotFound
 	}
 	return storage.Row{Key: key, Value: value, Version: t.versions[key]}, nil
@@ -440,9 +460,16 @@
 		answer := cancelJob(f, "a", "key")
 		Expect(answer.Code).To(Equal(result.OK))
 		Expect(answer.State).To(Equal(jobs.Cancelled))
-		var job jobs.Job
-		Expect(json.Unmarshal(t.rows["jobs//a"], &job)).To(Succeed())
-		Expect(job.Cancelled).To(BeTrue())
+		Expect(t.jobCancelled("a")).To(BeTrue())
+	})
+
+	// The answer was 200 with the state queued, and the job ran to its end.
+	It("cancels the job if it is accepted between two reads", func() {
+		t.deliverAtMiss = "jobs//a"
+		answer := cancelJob(f, "a", "key")
+		Expect(answer.Code).To(Equal(result.OK))
+		Expect(answer.State).To(Equal(jobs.Cancelled))
+		Expect(t.jobCancelled("a")).To(BeTrue())
 	})
 
 	It("is answered if the reply to its write was lost", func() {
@@ -474,6 +501,70 @@
 	})
 })
 
+var _ = Describe("The cancelling of a job that is accepted", func() {
+	var (
+		t *scriptedTable
+		f *front.Front
+	)
+	BeforeEach(func() {
+		t = &scriptedTable{}
+		f = startFront(t)
+		Expect(submit(f, "a", "key").Code).To(Equal(result.OK))
+	})
+
+	// A relayed table repeats a write without a reply; the repetition conflicts with it. The
+	// answer was 200 with the state queued.
+	It("is answered from the row after a conflict with its own write", func() {
+		t.script = []writeOutcome{{applied: true, err: storage.ErrConflict}}
+		answer := cancelJob(f, "a", "key")
+		Expect(answer.Code).To(Equal(result.OK))
+		Expect(answer.State).To(Equal(jobs.Cancelled))
+		Expect(t.jobCancelled("a")).To(BeTrue())
+	})
+
+	It("is tried again after a conflict that has not cancelled the job", func() {
+		t.script = []writeOutcome{{err: storage.ErrConflict}}
+		Expect(cancelJob(f, "a", "key").State).To(Equal(jobs.Cancelled))
+		Expect(t.jobCancelled("a")).To(BeTrue())
+	})
+
+	It("has an unknown outcome while neither the row nor a final state shows it", func() {
+		conflict := writeOutcome{err: storage.ErrConflict}
+		t.script = []writeOutcome{conflict, conflict, conflict, conflict, conflict, conflict}
+		Expect(cancelJob(f, "a", "key").Code).To(Equal(result.OutcomeUnknown))
+		t.set(holder.OutcomeKey("b"), storage.Encode(jobs.Status{State: jobs.Running, Team: "red", Queue: "q"}))
+		Expect(cancelJob(f, "b", "key").Code).To(Equal(result.OutcomeUnknown), "a running job without a row")
+	})
+
+	It("is answered from the final state once the row has been deleted", func() {
+		t.drop("jobs//a")
+		t.set(holder.OutcomeKey("a"), storage.Encode(jobs.Status{State: jobs.Completed, Team: "red", Queue: "q"}))
+		answer := cancelJob(f, "a", "key")
+		Expect(answer.Code).To(Equal(result.OK))
+		Expect(answer.State).To(Equal(jobs.Completed))
+	})
+
+	It("is not tried again once its caller does not wait any more", func() {
+		t.proceed = make(chan struct{})
+		t.script = []writeOutcome{{err: storage.ErrConflict}}
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		answer := f.Cancel(ctx, front.Caller{Key: "key", Host: "h", Path: "/q/a"})
+		Expect(answer.Code).To(Equal(result.OutcomeUnknown))
+		t.proceed <- struct{}{}
+		Consistently(func() bool {
+			select {
+			case t.proceed <- struct{}{}:
+				return true
+			default:
+				return false
+			}
+		}, "300ms").Should(BeFalse(), "another write")
+		close(t.proceed)
+		Expect(cancelJob(f, "a", "key").State).To(Equal(jobs.Cancelled))
+	})
+})
+
 var _ = Describe("The log line of a cancel", func() {
 	var (
 		lines *gbytes.Buffer
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -126,7 +126,7 @@
 		case w.state == tableUnavailable:
 			s.reply <- *w.f.refuse(result.StoreUnavailable, "the table does not answer")
 		case s.cancel:
-			s.reply <- w.cancel(s.job)
+			s.reply <- w.cancel(s)
 		default:
 			accept = append(accept, s)
 		}
--- a/front/submit.go
+++ b/front/submit.go
@@ -14,7 +14,9 @@
 type submission struct {
 	job    *jobs.Job
 	cancel bool
-	reply  chan Answer
+	// deadline is when the caller of a cancel stops waiting.
+	deadline time.Time
+	reply    chan Answer
 	// claimed is set by the thread that determines the answer: the writer's when it
 	// begins to write, or the caller's when its time has run out before.
 	claimed atomic.Bool
