Bar a cancelled ID for the owner of the cancel only

A DELETE of an ID that was not accepted yet, by another team or for another queue, made the later submission of the job's own team fail with 409: it never ran, however often it was repeated within ten minutes.

The bar was written into the row that says that an ID was accepted, which is one row for all owners. Each owner has a bar of its own now: a row in the same part, on whose absence a submission of that owner depends, so that acceptance is still one transaction in one part. A 410 stays true: the owner's submission finds its bar, or the row of the ID if another owner has used it by then. The pruner deletes bars as before. A write has 25 jobs at most instead of 30, since each has one condition more and a call 100 entries. Bars of older builds are still honoured, for all owners; an instance of an older build does not know the new ones, so that during a rolling replacement a late submission through it can be accepted after a 410.

Failed before: another team, another queue, and bars of two owners (409 for the rightful owner). Two assertions of the older tests stated the fault: that another team's submission of a barred ID gets 409, and that its DELETE is answered by a bar that is not its own; the new tests require acceptance, and a bar for each owner, without a further write when a DELETE is repeated. With 30 jobs in a write the test of the size of a group fails with 120 entries. go test -race ./front ./holder ./jobs ./platform ./relay passes.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -153,18 +153,31 @@
 	return w.bar(wanted)
 }
 
-// bar keeps a job that has not been accepted from being accepted: its submission may still be
-// on its way to a front or to the table. It returns false if the job has been accepted, or if
-// an attempt without a reply has barred it.
+// barOf returns the ID of the rows that keep the job from being accepted from its owner.
+func barOf(job *jobs.Job) jobs.ID { return holder.BarID(job.ID, job.Team, job.Queue) }
+
+// bar keeps a job that has not been accepted from being accepted from its owner: its submission
+// may still be on its way to a front or to the table. It returns false if the job has been
+// accepted, or if an attempt without a reply has barred it.
 func (w *submissionWriter) bar(wanted *jobs.Job) (answer Answer, decided bool) {
-	accepted := w.f.Parts.Key(holder.AcceptedTable, wanted.ID)
+	accepted, id := w.f.Parts.Key(holder.AcceptedTable, wanted.ID), barOf(wanted)
+	key := w.f.Parts.Key(holder.AcceptedTable, id)
+	ctx, cancel := context.WithTimeout(w.f.ctx, readTimeout)
+	defer cancel()
+	row, err := w.f.Table.Get(ctx, key)
+	switch {
+	case err == nil:
+		return w.f.noJobAnswer(BarredBefore, row.Version), true
+	case !eris.Is(err, storage.ErrNotFound):
+		return *w.f.refuse(result.StoreUnavailable, err.Error()), true
+	}
 	barred := storage.Encode(jobs.Status{
 		State: jobs.Cancelled, Barred: true, Team: string(wanted.Team), Queue: wanted.Queue, Ended: w.f.Wall.Now().UnixMilli(),
 	})
 	written, err := w.commit(storage.Txn{
-		Checks: []storage.Check{{Key: accepted}},
-		// The pruner finds jobs by their outcomes.
-		Writes: []storage.Write{{Key: accepted, Value: barred}, {Key: holder.OutcomeKey(wanted.ID), Value: barred}},
+		Checks: []storage.Check{{Key: accepted}, {Key: key}},
+		// The pruner finds bars by their outcomes.
+		Writes: []storage.Write{{Key: key, Value: barred}, {Key: holder.OutcomeKey(id), Value: barred}},
 	}, false)
 	switch {
 	case err == nil:
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -21,9 +21,9 @@
 const (
 	// writerRing is the number of submissions that may wait for one writer.
 	writerRing = 256
-	// maxBatchJobs bounds the jobs of one write. Each job has two rows, and the
-	// table accepts 100 entries in a write.
-	maxBatchJobs = 30
+	// maxBatchJobs bounds the jobs of one write. Each job has two conditions and two rows,
+	// and the table accepts 100 entries in a write.
+	maxBatchJobs = 25
 	// maxBatchBytes bounds the estimated size of one write. The table accepts 1 MB.
 	maxBatchBytes = 500 << 10
 	// writeTimeout bounds one attempt of a write. A slow table takes a second.
@@ -176,13 +176,13 @@
 	}
 }
 
-// write creates the rows of the jobs on condition that none exists. ambiguous is set
-// when an earlier write of them may have taken effect.
+// write creates the rows of the jobs on condition that none exists and none is barred.
+// ambiguous is set when an earlier write of them may have taken effect.
 func (w *submissionWriter) write(list []*jobs.Job, ambiguous bool) (storage.RowVersion, error) {
 	var txn storage.Txn
 	for _, job := range list {
 		accepted := w.f.Parts.Key(holder.AcceptedTable, job.ID)
-		txn.Checks = append(txn.Checks, storage.Check{Key: accepted})
+		txn.Checks = append(txn.Checks, storage.Check{Key: accepted}, storage.Check{Key: w.f.Parts.Key(holder.AcceptedTable, barOf(job))})
 		txn.Writes = append(txn.Writes,
 			storage.Write{Key: w.f.Parts.Key(holder.JobsTable, job.ID), Value: storage.Encode(job)},
 			storage.Write{Key: accepted, Value: storage.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
@@ -254,9 +254,12 @@
 	return *w.f.refuse(result.OutcomeUnknown, err.Error())
 }
 
-// duplicateAnswer returns the answer to a submission with an existing id.
+// duplicateAnswer returns the answer to a submission with an existing or a barred id.
 func (w *submissionWriter) duplicateAnswer(job *jobs.Job) Answer {
 	found := w.f.loadStatus(w.f.ctx, job.ID)
+	if found.answer != nil && found.answer.Code == result.UnknownRequest {
+		found = w.f.loadStatus(w.f.ctx, barOf(job))
+	}
 	if found.answer != nil {
 		// A row with this id exists, but its owner can't be determined.
 		return *w.f.refuse(result.OutcomeUnknown, "the job's row could not be read")
--- a/holder/records.go
+++ b/holder/records.go
@@ -22,7 +22,8 @@
 	// runs is live.
 	JobsTable = "jobs"
 	// AcceptedTable contains a row for each accepted job, which prevents an ID
-	// from being accepted twice. The Pruner deletes the row after the job's end.
+	// from being accepted twice, and a row for each bar: see BarID. The Pruner deletes the
+	// row after the job's end.
 	AcceptedTable = "accepted"
 	// outcomePrefix is the prefix of the rows with the status of jobs that have
 	// begun or ended.
@@ -33,6 +34,9 @@
 	// progressPartSeparator is between a job's ID, which does not contain it, and the
 	// number of a part of its progress.
 	progressPartSeparator = "."
+	// barSeparator is between a job's ID, which does not contain it, and an owner in the ID of
+	// a bar.
+	barSeparator = "."
 	// cellPrefix is the prefix of the other rows of the holder.
 	cellPrefix = "cell//"
 	// QueuesKey is the key of the row with the numbers of waiting jobs.
@@ -55,6 +59,14 @@
 // OutcomeKey returns the key of the row with the status of a job that has begun.
 func OutcomeKey(id jobs.ID) string { return outcomePrefix + string(id) }
 
+// BarID returns the ID of the rows that keep the job from being accepted from the team in the
+// queue: a row in AcceptedTable, in the part of the job, and an outcome, by which the Pruner
+// finds it. The ID differs from that of any job.
+func BarID(id jobs.ID, team model.TeamName, queue jobs.QueueName) jobs.ID {
+	owner := xxhash.Sum64String(string(team) + "\x00" + string(queue))
+	return id + barSeparator + jobs.ID(strconv.FormatUint(owner, 16))
+}
+
 func progressKey(id jobs.ID) string { return progressPrefix + string(id) }
 
 // progressPartKey returns the key of a part of a job's progress.
@@ -76,13 +88,14 @@
 // Parts is the number of parts over which the rows of jobs are distributed.
 type Parts int
 
-// Of returns the index of a job's part.
+// Of returns the index of the part of a job and of its bars.
 func (n Parts) Of(id jobs.ID) int {
 	if n <= 1 {
 		return 0
 	}
+	job, _, _ := strings.Cut(string(id), barSeparator)
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte(job))
 	return int(h.Sum32() % uint32(n))
 }
 
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -205,7 +205,8 @@
 	// Ended is when a final state was recorded, in Unix milliseconds.
 	Ended int64 `json:"ended,omitempty"`
 	// Barred is set if the job was cancelled before it was accepted. It will not be
-	// accepted, and there is no such job for callers who ask for its state.
+	// accepted from its owner. Older builds have such a status in the rows of the job
+	// itself; there is no such job for callers who ask for its state.
 	Barred bool `json:"barred,omitempty"`
 }
 
