Cancel a job whose queue has been renamed

A DELETE for a job was answered with 410, and the job ran on, if a configuration had replaced the job's route by one of another name with the same host and prefix. A repetition of its submission got 409, and its state 410.

Calls were compared with the name of the queue that the job was submitted to. That name identifies nothing for callers, who have the host and the path only. A job whose queue has left the configuration can be reached only through the route that has taken its place; so calls of its own team now reach it. A queue that is still in force keeps its jobs to itself, and other teams never reach them.

The new test fails before (206, unknown_request, instead of a cancelled row). go test -race ./front ./jobs passes.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -97,7 +97,7 @@
 		w.f.Log.Error("job_unreadable", slog.String("key", key), slog.Any("error", err))
 		return *w.f.refuse(result.StoreUnavailable, "the job's row can't be read"), true
 	}
-	if job.Team != wanted.Team || job.Queue != wanted.Queue {
+	if job.Team != wanted.Team || !w.f.reaches(wanted.Queue, job.Queue) {
 		return w.f.noJobAnswer(OtherOwner, row.Version), true
 	}
 	if job.Cancelled {
@@ -128,7 +128,7 @@
 // if the status is not final: the job has been accepted since its row was read.
 func (w *submissionWriter) endedAnswer(wanted *jobs.Job, found statusResult) (answer Answer, decided bool) {
 	switch {
-	case !found.status.BelongsTo(wanted.Team, wanted.Queue):
+	case !w.f.belongsTo(found.status, wanted.Team, wanted.Queue):
 		return w.f.noJobAnswer(OtherOwner, found.version), true
 	case found.status.Barred:
 		return w.f.noJobAnswer(BarredBefore, found.version), true
--- a/front/front.go
+++ b/front/front.go
@@ -167,6 +167,19 @@
 	return admittedCall{queue: queue, team: team, id: jobs.ID(rest), deadline: f.deadlineOf(ctx, queue)}, nil
 }
 
+// reaches reports whether calls for the queue are about the jobs of the other one: it is the
+// same, or it has left the configuration, so that its jobs can be reached only through the queue
+// that has taken its host and prefix.
+func (f *Front) reaches(queue, other jobs.QueueName) bool {
+	return queue == other || f.View.Catalog().Queues[other] == nil
+}
+
+// belongsTo reports whether a job with the status belongs to the team, and calls for the queue
+// reach it.
+func (f *Front) belongsTo(status jobs.Status, team model.TeamName, queue jobs.QueueName) bool {
+	return status.Team == string(team) && f.reaches(queue, status.Queue)
+}
+
 func (f *Front) deadlineOf(ctx context.Context, queue *catalog.Queue) time.Time {
 	timeout := queue.Timeout
 	if timeout <= 0 {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -184,7 +184,10 @@
 // fakeDecoder decodes every row to the configuration of these tests.
 type fakeDecoder struct{}
 
-func (fakeDecoder) OperatorRow(storage.Row, bool) (view.Row, error) {
+// renamedRow is the value of the row of a later configuration, in which the queue q has the name s.
+const renamedRow = "renamed"
+
+func (fakeDecoder) OperatorRow(row storage.Row, _ bool) (view.Row, error) {
 	c := &catalog.Catalog{
 		Version: 1,
 		Queues: map[jobs.QueueName]*catalog.Queue{
@@ -193,6 +196,12 @@
 		},
 		Keys: map[string]model.TeamName{"key": "red", "other": "blue"},
 	}
+	if string(row.Value) == renamedRow {
+		renamed := *c.Queues["q"]
+		renamed.Name = "s"
+		delete(c.Queues, "q")
+		c.Version, c.Queues["s"] = 2, &renamed
+	}
 	c.Index()
 	return view.Row{Catalog: c}, nil
 }
@@ -609,6 +618,17 @@
 		Expect(answer.State).To(Equal(jobs.Completed))
 	})
 
+	// The answer was 410, and the job ran on.
+	It("is answered from the row after a configuration has renamed its queue", func() {
+		f.View.Update(feed.Update{Changes: []storage.Change{{Row: storage.Row{Value: []byte(renamedRow)}}}})
+		Expect(cancelJob(f, "a", "other").Code).NotTo(Equal(result.OK))
+		Expect(t.jobCancelled("a")).To(BeFalse())
+		Expect(cancelJob(f, "a", "key").Code).To(Equal(result.OK))
+		Expect(t.jobCancelled("a")).To(BeTrue())
+		Expect(submit(f, "a", "key").Code).To(Equal(result.OK), "a repetition of the submission")
+		Expect(askState(f, "a").Code).To(Equal(result.OK))
+	})
+
 	It("is not tried again once its caller does not wait any more", func() {
 		t.proceed = make(chan struct{})
 		t.script = []writeOutcome{{err: storage.ErrConflict}}
--- a/front/status.go
+++ b/front/status.go
@@ -87,7 +87,7 @@
 		}
 		status = found.status
 	}
-	if status.Barred || !status.BelongsTo(call.team, call.queue.Name) {
+	if status.Barred || !f.belongsTo(status, call.team, call.queue.Name) {
 		return *f.refuse(result.UnknownRequest, "there is no such job")
 	}
 	return Answer{Code: result.OK, State: status.State, StateReason: status.Reason}
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -270,7 +270,7 @@
 // knownAnswer returns the answer to a submission of a job whose id has been accepted with
 // the status.
 func (f *Front) knownAnswer(job *jobs.Job, status jobs.Status) Answer {
-	if !status.BelongsTo(job.Team, job.Queue) {
+	if !f.belongsTo(status, job.Team, job.Queue) {
 		return *f.refuse(result.KeyReused, "the id belongs to another job")
 	}
 	if status.Barred {
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -209,8 +209,3 @@
 	// itself; there is no such job for callers who ask for its state.
 	Barred bool `json:"barred,omitempty"`
 }
-
-// BelongsTo reports whether the job was submitted to the queue by the team.
-func (s Status) BelongsTo(team model.TeamName, queue QueueName) bool {
-	return s.Team == string(team) && s.Queue == queue
-}
