Do not acknowledge another team's cancel of a job that runs

A DELETE by a team other than the job's got 410, "no such job", while the job ran on. That was so for a key that a later configuration gives to another team, and on an open queue if the job was submitted with a key that was not sent, or not known yet or any more, when it was cancelled.

Host, path and ID are the job's own in these cases, so that 410 is not true; nothing is changed by such a call. It is refused now like a submission of the ID by another team, with 409 (key_reused), until the final state is recorded; then 410 is true. A call for another queue that is in the configuration still gets 410: its path names another job, which the row of the ID keeps from being accepted.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -42,7 +42,8 @@
 	// an earlier one has.
 	BarredNow    Basis = "barred_now"
 	BarredBefore Basis = "barred_before"
-	// OtherOwner means that the job belongs to another team or queue.
+	// OtherOwner means that the job belongs to another queue, or has ended and belongs to
+	// another team.
 	OtherOwner Basis = "other_owner"
 	// ImpossibleID means that no job can have the ID.
 	ImpossibleID Basis = "impossible_id"
@@ -98,7 +99,7 @@
 		return *w.f.refuse(result.StoreUnavailable, "the job's row can't be read"), true
 	}
 	if job.Team != wanted.Team || !w.f.reaches(wanted.Queue, job.Queue) {
-		return w.f.noJobAnswer(OtherOwner, row.Version), true
+		return w.otherOwnerAnswer(wanted, job.Queue, row.Version), true
 	}
 	if job.Cancelled {
 		return cancelledAnswer(CancelledBefore, row.Version), true
@@ -124,12 +125,25 @@
 	}
 }
 
+// otherOwnerAnswer returns the answer to the cancel of another owner's job that may run. A call
+// for another queue is not about that job, and its own will not be accepted with the ID. A call
+// of another team is, and an acknowledgement would say that the job has ended.
+func (w *submissionWriter) otherOwnerAnswer(wanted *jobs.Job, queue jobs.QueueName, version storage.RowVersion) Answer {
+	if w.f.reaches(wanted.Queue, queue) {
+		return *w.f.refuse(result.KeyReused, "the id belongs to the job of another team")
+	}
+	return w.f.noJobAnswer(OtherOwner, version)
+}
+
 // endedAnswer returns the answer for a job without a row that has a status. It returns false
 // if the status is not final: the job has been accepted since its row was read.
 func (w *submissionWriter) endedAnswer(wanted *jobs.Job, found statusResult) (answer Answer, decided bool) {
+	mine := w.f.belongsTo(found.status, wanted.Team, wanted.Queue)
 	switch {
-	case !w.f.belongsTo(found.status, wanted.Team, wanted.Queue):
+	case !mine && found.status.State.Final():
 		return w.f.noJobAnswer(OtherOwner, found.version), true
+	case !mine:
+		return w.otherOwnerAnswer(wanted, found.status.Queue, found.version), true
 	case found.status.Barred:
 		return w.f.noJobAnswer(BarredBefore, found.version), true
 	case !found.status.State.Final():
