--- a/front/cancel.go
+++ b/front/cancel.go
@@ -23,24 +23,64 @@
 		return f.recordAnswer("cancel", call, refused, began)
 	}
 	job := &jobs.Job{ID: call.id, Team: call.team, Queue: call.queue.Name}
-	answer := f.submitAndWait(call, &submission{job: job, cancel: true, reply: make(chan Answer, 1)})
+	answer := f.submitAndWait(call, &submission{job: job, cancel: true, deadline: call.deadline, reply: make(chan Answer, 1)})
 	return f.recordAnswer("cancel", call, &answer, began)
 }
 
-// cancelAttempts bounds the attempts to cancel a job that is being accepted.
-const cancelAttempts = 2
+// Basis is what the acknowledgement of a cancel rests on.
+type Basis string
 
-func (w *submissionWriter) cancel(wanted *jobs.Job) Answer {
+// The bases of acknowledgements.
+const (
+	// CancelledNow means that the call has marked the job's row as cancelled.
+	CancelledNow Basis = "cancelled_now"
+	// CancelledBefore means that the job's row was marked before the call.
+	CancelledBefore Basis = "cancelled_before"
+	// Ended means that a final state of the job is recorded.
+	Ended Basis = "ended"
+	// BarredNow means that the call has kept the job from being accepted, BarredBefore that
+	// an earlier one has.
+	BarredNow    Basis = "barred_now"
+	BarredBefore Basis = "barred_before"
+	// OtherOwner means that the job belongs to another queue, or has ended and belongs to
+	// another team.
+	OtherOwner Basis = "other_owner"
+	// ImpossibleID means that no job can have the ID.
+	ImpossibleID Basis = "impossible_id"
+)
+
+// cancelledAnswer returns the acknowledgement of a job whose row is marked as cancelled.
+func cancelledAnswer(basis Basis, version storage.RowVersion) Answer {
+	return Answer{Code: result.OK, State: jobs.Cancelled, Basis: basis, Version: version}
+}
+
+// noJobAnswer returns the answer to a caller who has no job with the ID.
+func (f *Front) noJobAnswer(basis Basis, version storage.RowVersion) Answer {
+	answer := f.refuse(result.UnknownRequest, "there is no such job")
+	answer.Basis, answer.Version = basis, version
+	return *answer
+}
+
+// cancelAttempts bounds the attempts to cancel a job whose rows change. A job's row is created,
+// marked and deleted once each, so that the third attempt finds it marked or deleted.
+const cancelAttempts = 3
+
+// cancel tries to cancel the job until its rows show the answer. No attempt begins once the
+// caller has stopped waiting, since the writer's other callers wait for it.
+func (w *submissionWriter) cancel(s *submission) Answer {
 	for range cancelAttempts {
-		if answer, decided := w.tryCancel(wanted); decided {
+		if answer, decided := w.tryCancel(s.job); decided {
 			return answer
 		}
+		if time.Now().After(s.deadline) {
+			break
+		}
 	}
-	return *w.f.refuse(result.OutcomeUnknown, "the job is being accepted")
+	return *w.f.refuse(result.OutcomeUnknown, "the job's rows change")
 }
 
 // tryCancel marks the job's row as cancelled, or bars a job that has not been accepted. It
-// returns false if the job has been accepted in the meantime.
+// returns false if the job's rows have changed in the meantime.
 func (w *submissionWriter) tryCancel(wanted *jobs.Job) (answer Answer, decided bool) {
 	ctx, cancel := context.WithTimeout(w.f.ctx, writeTimeout)
 	defer cancel()
@@ -58,77 +98,104 @@
 		w.f.Log.Error("job_unreadable", slog.String("key", key), slog.Any("error", err))
 		return *w.f.refuse(result.StoreUnavailable, "the job's row can't be read"), true
 	}
-	if job.Team != wanted.Team || job.Queue != wanted.Queue {
-		return *w.f.refuse(result.UnknownRequest, "there is no such job"), true
+	if job.Team != wanted.Team || !w.f.reaches(wanted.Queue, job.Queue) {
+		return w.otherOwnerAnswer(wanted, job.Queue, row.Version), true
 	}
 	if job.Cancelled {
-		return Answer{Code: result.OK, State: jobs.Cancelled}, true
+		return cancelledAnswer(CancelledBefore, row.Version), true
 	}
 	job.Cancelled = true
-	return w.writeCancel(key, row.Version, &job), true
+	return w.writeCancel(key, row.Version, &job)
 }
 
-func (w *submissionWriter) writeCancel(key string, version storage.RowVersion, job *jobs.Job) Answer {
-	err := w.commit(storage.Txn{
+// writeCancel returns false if the row has been changed or removed. An attempt without a reply
+// may have done so.
+func (w *submissionWriter) writeCancel(key string, version storage.RowVersion, job *jobs.Job) (answer Answer, decided bool) {
+	written, err := w.commit(storage.Txn{
 		Checks: []storage.Check{{Key: key, Version: version}},
 		Writes: []storage.Write{{Key: key, Value: storage.Encode(job)}},
 	}, false)
 	switch {
 	case err == nil:
-		return Answer{Code: result.OK, State: jobs.Cancelled}
+		return cancelledAnswer(CancelledNow, written), true
 	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict):
-		// An earlier attempt or another caller has cancelled the job, or the job
-		// has ended.
-		return w.cancelEnded(job)
+		return Answer{}, false
 	default:
-		return w.failureAnswer(err)
+		return w.failureAnswer(err), true
 	}
 }
 
-// cancelEnded returns the answer for a job whose row has been removed or changed.
-func (w *submissionWriter) cancelEnded(wanted *jobs.Job) Answer {
-	status, answer := w.f.loadStatus(w.f.ctx, wanted.ID)
-	if answer != nil {
-		return *answer
+// otherOwnerAnswer returns the answer to the cancel of another owner's job that may run. A call
+// for another queue is not about that job, and its own will not be accepted with the ID. A call
+// of another team is, and an acknowledgement would say that the job has ended.
+func (w *submissionWriter) otherOwnerAnswer(wanted *jobs.Job, queue jobs.QueueName, version storage.RowVersion) Answer {
+	if w.f.reaches(wanted.Queue, queue) {
+		return *w.f.refuse(result.KeyReused, "the id belongs to the job of another team")
 	}
-	return w.endedAnswer(wanted, status)
+	return w.f.noJobAnswer(OtherOwner, version)
 }
 
-func (w *submissionWriter) endedAnswer(wanted *jobs.Job, status jobs.Status) Answer {
-	if status.Barred || !status.BelongsTo(wanted.Team, wanted.Queue) {
-		return *w.f.refuse(result.UnknownRequest, "there is no such job")
+// endedAnswer returns the answer for a job without a row that has a status. It returns false
+// if the status is not final: the job has been accepted since its row was read.
+func (w *submissionWriter) endedAnswer(wanted *jobs.Job, found statusResult) (answer Answer, decided bool) {
+	mine := w.f.belongsTo(found.status, wanted.Team, wanted.Queue)
+	switch {
+	case !mine && found.status.State.Final():
+		return w.f.noJobAnswer(OtherOwner, found.version), true
+	case !mine:
+		return w.otherOwnerAnswer(wanted, found.status.Queue, found.version), true
+	case found.status.Barred:
+		return w.f.noJobAnswer(BarredBefore, found.version), true
+	case !found.status.State.Final():
+		return Answer{}, false
+	default:
+		return Answer{Code: result.OK, State: found.status.State, Basis: Ended, Version: found.version}, true
 	}
-	return Answer{Code: result.OK, State: status.State}
 }
 
 // cancelAbsent cancels a job that has no row: it has ended, or has not been accepted.
 func (w *submissionWriter) cancelAbsent(wanted *jobs.Job) (answer Answer, decided bool) {
-	status, unknown := w.f.loadStatus(w.f.ctx, wanted.ID)
+	found := w.f.loadStatus(w.f.ctx, wanted.ID)
 	switch {
-	case unknown == nil:
-		return w.endedAnswer(wanted, status), true
-	case unknown.Code != result.UnknownRequest || wanted.ID.Problem() != "":
-		return *unknown, true
+	case found.answer == nil:
+		return w.endedAnswer(wanted, found)
+	case found.answer.Code != result.UnknownRequest:
+		return *found.answer, true
+	case wanted.ID.Problem() != "":
+		return w.f.noJobAnswer(ImpossibleID, 0), true
 	}
 	return w.bar(wanted)
 }
 
-// bar keeps a job that has not been accepted from being accepted: its submission may still be
-// on its way to a front or to the table. It returns false if the job has been accepted, or if
-// an attempt without a reply has barred it.
+// barOf returns the ID of the rows that keep the job from being accepted from its owner.
+func barOf(job *jobs.Job) jobs.ID { return holder.BarID(job.ID, job.Team, job.Queue) }
+
+// bar keeps a job that has not been accepted from being accepted from its owner: its submission
+// may still be on its way to a front or to the table. It returns false if the job has been
+// accepted, or if an attempt without a reply has barred it.
 func (w *submissionWriter) bar(wanted *jobs.Job) (answer Answer, decided bool) {
-	accepted := w.f.Parts.Key(holder.AcceptedTable, wanted.ID)
+	accepted, id := w.f.Parts.Key(holder.AcceptedTable, wanted.ID), barOf(wanted)
+	key := w.f.Parts.Key(holder.AcceptedTable, id)
+	ctx, cancel := context.WithTimeout(w.f.ctx, readTimeout)
+	defer cancel()
+	row, err := w.f.Table.Get(ctx, key)
+	switch {
+	case err == nil:
+		return w.f.noJobAnswer(BarredBefore, row.Version), true
+	case !eris.Is(err, storage.ErrNotFound):
+		return *w.f.refuse(result.StoreUnavailable, err.Error()), true
+	}
 	barred := storage.Encode(jobs.Status{
 		State: jobs.Cancelled, Barred: true, Team: string(wanted.Team), Queue: wanted.Queue, Ended: w.f.Wall.Now().UnixMilli(),
 	})
-	err := w.commit(storage.Txn{
-		Checks: []storage.Check{{Key: accepted}},
-		// The pruner finds jobs by their outcomes.
-		Writes: []storage.Write{{Key: accepted, Value: barred}, {Key: holder.OutcomeKey(wanted.ID), Value: barred}},
+	written, err := w.commit(storage.Txn{
+		Checks: []storage.Check{{Key: accepted}, {Key: key}},
+		// The pruner finds bars by their outcomes.
+		Writes: []storage.Write{{Key: key, Value: barred}, {Key: holder.OutcomeKey(id), Value: barred}},
 	}, false)
 	switch {
 	case err == nil:
-		return *w.f.refuse(result.UnknownRequest, "there is no such job, and it will not be accepted"), true
+		return w.f.noJobAnswer(BarredNow, written), true
 	case eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict):
 		return Answer{}, false
 	default:
--- a/front/front.go
+++ b/front/front.go
@@ -63,6 +63,10 @@
 	State jobs.State
 	// StateReason is why the job has failed or was cancelled. It is logged, not sent.
 	StateReason string
+	// Basis is what the acknowledgement of a cancel rests on, and Version the version of the
+	// row that shows it. They are logged, not sent.
+	Basis   Basis
+	Version storage.RowVersion
 	// Waiting is the number of waiting jobs, if the call is about a queue.
 	Waiting int
 	// RetryAfter is the time after which to retry; 0 where a retry would not help.
@@ -163,6 +167,19 @@
 	return admittedCall{queue: queue, team: team, id: jobs.ID(rest), deadline: f.deadlineOf(ctx, queue)}, nil
 }
 
+// reaches reports whether calls for the queue are about the jobs of the other one: it is the
+// same, or it has left the configuration, so that its jobs can be reached only through the queue
+// that has taken its host and prefix.
+func (f *Front) reaches(queue, other jobs.QueueName) bool {
+	return queue == other || f.View.Catalog().Queues[other] == nil
+}
+
+// belongsTo reports whether a job with the status belongs to the team, and calls for the queue
+// reach it.
+func (f *Front) belongsTo(status jobs.Status, team model.TeamName, queue jobs.QueueName) bool {
+	return status.Team == string(team) && f.reaches(queue, status.Queue)
+}
+
 func (f *Front) deadlineOf(ctx context.Context, queue *catalog.Queue) time.Time {
 	timeout := queue.Timeout
 	if timeout <= 0 {
@@ -212,6 +229,9 @@
 	if a.StateReason != "" {
 		attrs = append(attrs, slog.String("state_reason", a.StateReason))
 	}
+	if a.Basis != "" {
+		attrs = append(attrs, slog.String("basis", string(a.Basis)), slog.Uint64("version", uint64(a.Version)))
+	}
 	f.Log.Info(kind, attrs...)
 	return *a
 }
