--- a/integration/cancelday/callers_test.go
+++ b/integration/cancelday/callers_test.go
@@ -121,6 +121,8 @@
 	client *http.Client
 	record *recorder
 	seed   uint64
+	// early is the share of the jobs that are cancelled while they are being submitted.
+	early float64
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -264,6 +266,15 @@
 
 func (c *callers) run(j *job) {
 	doomed := c.float() < cancelShare
+	if c.float() < c.early {
+		doomed = false
+		c.busy.Add(1)
+		go func() {
+			defer c.busy.Done()
+			time.Sleep(c.duration(0, 150*time.Millisecond))
+			c.cancel(j, "")
+		}()
+	}
 	for range maxSubmits {
 		a := c.call(c.pick(""), http.MethodPost, j)
 		j.mu.Lock()
@@ -319,7 +330,7 @@
 		j.mu.Lock()
 		j.cancels = append(j.cancels, a)
 		done := a.status/100 == 2 || a.status == http.StatusGone
-		if done {
+		if done && j.acknowledged.IsZero() {
 			j.acknowledged = a.at
 		}
 		j.mu.Unlock()
--- a/integration/cancelday/cancelday_test.go
+++ b/integration/cancelday/cancelday_test.go
@@ -36,6 +36,14 @@
 	troubleAt, trouble time.Duration
 	table              tableFaults
 	lateOrders         float64
+	// pauses makes instances stand still, one after the other, for up to maxPause while the
+	// trouble lasts; the holder is the first.
+	pauses bool
+	// held is the share of the endpoints whose links hold back all bytes while the trouble
+	// lasts, for up to maxHeld each time, and then deliver them.
+	held float64
+	// early is the share of the jobs that are cancelled while they are being submitted.
+	early float64
 	// busy is the number of processes that use the processor from 5 s on for 20 s.
 	busy int
 }
@@ -59,6 +67,16 @@
 		troubleAt: 8 * time.Second, trouble: 24 * time.Second, lateOrders: 0.06},
 	{name: "all", rollAt: 8 * time.Second, rollShare: 1, minGap: gap03, maxGap: gap13, first: "sender", outageAt: 20 * time.Second, outage: 6500 * time.Millisecond,
 		troubleAt: 6 * time.Second, trouble: 28 * time.Second, table: tableFaults{lost: 0.02, late: 0.03, slowdown: 15}, lateOrders: 0.03, busy: 4},
+	{name: "pauses", rollAt: 10 * time.Second, rollShare: 0.5, minGap: gap03, maxGap: gap13, outageAt: 20 * time.Second, outage: 6500 * time.Millisecond,
+		troubleAt: 8 * time.Second, trouble: 24 * time.Second, pauses: true},
+	{name: "held", rollAt: 10 * time.Second, rollShare: 0.6, minGap: gap03, maxGap: gap13, first: "sender", outageAt: 20 * time.Second, outage: 6500 * time.Millisecond,
+		troubleAt: 8 * time.Second, trouble: 24 * time.Second, held: 0.15},
+	{name: "early", rollAt: 10 * time.Second, rollShare: 0.6, minGap: gap03, maxGap: gap13, first: "holder", outageAt: 20 * time.Second, outage: 2500 * time.Millisecond,
+		troubleAt: 6 * time.Second, trouble: 26 * time.Second, table: tableFaults{slowdown: 30}, early: 0.3},
+	{name: "early-lost", rollAt: 10 * time.Second, rollShare: 0.6, minGap: gap03, maxGap: gap13, outageAt: 20 * time.Second, outage: 6500 * time.Millisecond,
+		troubleAt: 6 * time.Second, trouble: 26 * time.Second, table: tableFaults{lost: 0.03, late: 0.05, slowdown: 10}, early: 0.2},
+	{name: "mixed", rollAt: 8 * time.Second, rollShare: 1, minGap: gap03, maxGap: gap13, first: "holder", outageAt: 20 * time.Second, outage: 6500 * time.Millisecond,
+		troubleAt: 6 * time.Second, trouble: 28 * time.Second, table: tableFaults{lost: 0.01, late: 0.01, slowdown: 5}, lateOrders: 0.02, held: 0.08, pauses: true},
 	{name: "quiet"},
 }
 
@@ -205,6 +223,13 @@
 	}
 	if r.trouble > 0 {
 		at(r.troubleAt, func() { r.setTable(r.day.table); r.setLateOrders(r.lateOrders) })
+		end := began.Add(r.troubleAt + r.trouble)
+		if r.pauses {
+			at(r.troubleAt, func() { r.pauseNodes(end) })
+		}
+		for i := range int(r.held * float64(len(r.endpoints))) {
+			at(r.troubleAt, func() { r.holdLink(i, end) })
+		}
 		at(r.troubleAt+r.trouble, func() { r.setTable(tableFaults{}); r.setLateOrders(0) })
 	}
 	for range r.busy {
@@ -215,6 +240,7 @@
 		})
 	}
 	at(0, r.watch)
+	r.callers.early = r.early
 	r.callers.load(setting("CANCELDAY_RATE", 90), began.Add(loadTime))
 	r.logEvent("load ends")
 	r.callers.busy.Wait()
@@ -225,6 +251,36 @@
 	}
 }
 
+const (
+	maxPause = 6 * time.Second
+	maxHeld  = 6 * time.Second
+)
+
+// pauseNodes makes instances stand still in turn until the end.
+func (r *run) pauseNodes(end time.Time) {
+	random := rand.New(rand.NewPCG(r.seed, 21))
+	n := r.nodes[max(0, latestIn(r.nodes, "state=deciding"))]
+	for time.Now().Before(end) {
+		d := 200*time.Millisecond + time.Duration(random.Int64N(int64(maxPause)))
+		r.logEvent("pause %s for %v", n.name, d.Round(time.Millisecond))
+		n.pause(d)
+		r.logEvent("%s goes on", n.name)
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+		choices := []int{latestIn(r.nodes, "state=deciding"), latestIn(r.nodes, "event=agent_follows"), random.IntN(largeNodes), random.IntN(len(r.nodes))}
+		n = r.nodes[max(0, choices[random.IntN(len(choices))])]
+	}
+}
+
+// holdLink holds back the link of an endpoint again and again until the end.
+func (r *run) holdLink(i int, end time.Time) {
+	random := rand.New(rand.NewPCG(r.seed, uint64(9000+i)))
+	e := r.endpoints[random.IntN(len(r.endpoints))]
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(random.Int64N(int64(6 * time.Second))))
+		e.holdLink(200*time.Millisecond + time.Duration(random.Int64N(int64(maxHeld))))
+	}
+}
+
 // watch logs the load of the site.
 func (r *run) watch() {
 	for range 9 {
--- a/integration/cancelday/endpoint_test.go
+++ b/integration/cancelday/endpoint_test.go
@@ -116,6 +116,9 @@
 	mu         sync.Mutex
 	random     *rand.Rand
 	lateOrders float64
+	// heldUntil is when the endpoint's link delivers what it has held back; zero while it
+	// holds back nothing.
+	heldUntil  time.Time
 	fence      uint64
 	leaseEnd   int64
 	running    map[string]*activeRun
@@ -221,6 +224,7 @@
 			return
 		}
 		record := &startRecord{received: time.Now(), endpoint: e.id, domain: e.domain, sender: r.RemoteAddr}
+		e.waitForLink()
 		e.mu.Lock()
 		late, closed := e.random.Float64() < e.lateOrders, e.random.IntN(2) == 0
 		delay := minOrderDelay + time.Duration(e.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
@@ -233,11 +237,32 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		record.late = time.Since(record.received) > linkDelay
 		status, body := do(e, cmd, record)
+		e.waitForLink()
 		reply(w, status, body)
 	}
 }
 
+// linkDelay is the delay from which an order counts as executed late.
+const linkDelay = 100 * time.Millisecond
+
+// holdLink holds back the endpoint's link for d and waits as long.
+func (e *endpoint) holdLink(d time.Duration) {
+	e.mu.Lock()
+	e.heldUntil = time.Now().Add(d)
+	e.mu.Unlock()
+	time.Sleep(d)
+}
+
+// waitForLink waits while the link is held back.
+func (e *endpoint) waitForLink() {
+	e.mu.Lock()
+	until := e.heldUntil
+	e.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // accept checks the fence. The caller holds the lock.
 func (e *endpoint) accept(cmd command) bool {
 	if cmd.Fence < e.fence {
--- a/integration/cancelday/nodes_test.go
+++ b/integration/cancelday/nodes_test.go
@@ -36,8 +36,8 @@
 	mu      sync.Mutex
 	process *os.Process
 	ended   chan struct{}
-	// stopped is set while the quota has suspended the process.
-	stopped bool
+	// stopped is set while the quota has suspended the process, paused while the day has.
+	stopped, paused bool
 }
 
 func newNode(dir, binary, name, domain string, share float64, table, advice string) *node {
@@ -200,7 +200,7 @@
 func (n *node) suspend(on bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.process == nil || n.stopped == on {
+	if n.process == nil || n.paused || n.stopped == on {
 		return false
 	}
 	n.stopped = on
@@ -213,6 +213,22 @@
 	return true
 }
 
+// pause makes the process stand still.
+func (n *node) pause(d time.Duration) {
+	n.mu.Lock()
+	n.paused, n.stopped = true, true
+	if n.process != nil {
+		// The process may have ended.
+		_ = n.process.Signal(syscall.SIGSTOP)
+	}
+	n.mu.Unlock()
+	time.Sleep(d)
+	n.mu.Lock()
+	n.paused = false
+	n.mu.Unlock()
+	n.suspend(false)
+}
+
 // cpuTime returns the processor time of a process.
 func cpuTime(pid int) time.Duration {
 	if pid == 0 {
