--- a/integration/cancelday/cancelday_test.go
+++ b/integration/cancelday/cancelday_test.go
@@ -77,6 +77,8 @@
 		troubleAt: 6 * time.Second, trouble: 26 * time.Second, table: tableFaults{lost: 0.03, late: 0.05, slowdown: 10}, early: 0.2},
 	{name: "mixed", rollAt: 8 * time.Second, rollShare: 1, minGap: gap03, maxGap: gap13, first: "holder", outageAt: 20 * time.Second, outage: 6500 * time.Millisecond,
 		troubleAt: 6 * time.Second, trouble: 28 * time.Second, table: tableFaults{lost: 0.01, late: 0.01, slowdown: 5}, lateOrders: 0.02, held: 0.08, pauses: true},
+	{name: "handover", rollAt: 10 * time.Second, rollShare: 0.04, minGap: gap03, maxGap: gap13, first: "holder",
+		troubleAt: 11500 * time.Millisecond, trouble: 2500 * time.Millisecond, table: tableFaults{lost: 0.1}},
 	{name: "quiet"},
 }
 
