--- a/integration/cancelday/endpoint_test.go
+++ b/integration/cancelday/endpoint_test.go
@@ -172,10 +172,9 @@
 // expiry it is removed and returns within entryReturn.
 func (e *endpoint) beat(stop chan struct{}) {
 	e.mu.Lock()
-	pause := time.Duration(e.random.Int64N(int64(beatInterval)))
 	back := time.Duration(e.random.Int64N(int64(entryReturn)))
 	e.mu.Unlock()
-	written, removed := time.Now(), false
+	written, removed, pause := time.Now(), false, time.Duration(0)
 	for seq := 1; ; seq++ {
 		switch {
 		case e.table.refusing():
