Holder: log which row a start rests on, and runs listed after the cancel of their job

Callers saw tasks of cancelled jobs started after the cancel was acknowledged; the record does not tell a cancel that was not read from a start that was executed late. run_ordered now has job_version, the version of the row with which the job was taken. job_taken also has the cancels that a successor reads from the rows (restored=true). run_after_cancel is written once for each run that a listing is the first to show, running or done, after the cancel of its job, also after the job's removal: with the time since the cancel, the state of the job, and whether the start had been given up.

--- a/holder/commands.go
+++ b/holder/commands.go
@@ -275,6 +275,7 @@
 		h.cell.planner.StartRefused(p.command.Start.Run, fleet.ErrRefused)
 	case p.command.Start != nil:
 		h.logFailedCommand("start", p.command.Target(), p.command.Start.Run, err)
+		h.cell.cancels.giveUp(p.command.Start.Run, h.now)
 		h.cell.planner.StartSettled(p.command.Start.Run)
 		h.cell.planner.OutcomeUnknown(p.command.Start.Run)
 	case p.command.Stop != nil:
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -133,6 +133,8 @@
 	// jobsReadAt is when the last applied read of the jobs table was requested: the
 	// planner's jobs are at least as recent.
 	jobsReadAt time.Time
+	// cancels contains the jobs that have been cancelled recently.
+	cancels cancelledJobs
 	// viewOld is set while the planner's view is too old to start tasks.
 	viewOld bool
 	// inheritedLeaseEnd is the time by which every endpoint lease that a
--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -76,7 +76,16 @@
 	h.Log.Info("run_ordered", slog.String("id", string(start.Run.Task.Job)), slog.String("run", start.Run.String()),
 		slog.String("endpoint", string(start.Endpoint)), slog.Duration("waited", start.Waited),
 		slog.Duration("listing_age", h.now.Sub(s.clockReadAt)), slog.Duration("jobs_read_age", h.now.Sub(h.cell.jobsReadAt)),
-		slog.Duration("decided_ago", h.now.Sub(start.DecidedAt)), slog.String("checkpoint", start.Saved), slog.Uint64("epoch", h.cell.epoch))
+		slog.Duration("decided_ago", h.now.Sub(start.DecidedAt)), slog.String("checkpoint", start.Saved), slog.Uint64("job_version", h.jobVersion(start.Run.Task.Job)),
+		slog.Uint64("epoch", h.cell.epoch))
+}
+
+// jobVersion returns the version of the row from which the planner has the job.
+func (h *Holder) jobVersion(id jobs.ID) uint64 {
+	if job := h.cell.planner.Job(id); job != nil {
+		return job.RowVersion
+	}
+	return 0
 }
 
 func (h *Holder) sendStop(stop planner.Stop) {
@@ -117,6 +126,7 @@
 	case err == nil:
 		planner.StartConfirmed(start.Run)
 	case eris.Is(err, fleet.ErrNoResponse):
+		h.cell.cancels.giveUp(start.Run, h.now)
 		planner.StartSettled(start.Run)
 		planner.NoResponse(start.Run)
 	default:
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -286,6 +286,7 @@
 			h.logEnd(s, e)
 		}
 	}
+	h.logRunsAfterCancel(s, newListing)
 	for _, run := range c.planner.ApplyListing(s.id, newListing, requestedAt) {
 		h.stopUnknownRun(s, run)
 	}
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -156,6 +157,7 @@
 		c.recorder.replaceOldRoster()
 	}
 	c.recorder.restoreEnds(r)
+	h.logRestoredCancels(r.jobs)
 	c.planner.Restore(r.jobs, r.progress)
 	for id := range r.progress {
 		if r.jobs[id] == nil && !r.unreadable[id] {
@@ -272,16 +274,38 @@
 		h.Log.Warn("job_readable_again", slog.String("key", row.Key))
 		return
 	case p.HasJob(job.ID) && job.Cancelled:
+		h.cell.cancels.add(p, job, h.now)
 		p.CancelJob(job.ID)
 	case !p.HasJob(job.ID) && !h.removed(job.ID):
+		if job.Cancelled {
+			h.cell.cancels.add(p, job, h.now)
+		}
 		p.AddJob(job, nil)
 	default:
 		return
 	}
-	h.Log.Info("job_taken", slog.String("id", string(job.ID)), slog.String("queue", string(job.Queue)),
-		slog.String("team", string(job.Team)), slog.Bool("cancelled", job.Cancelled),
-		slog.Uint64("version", uint64(row.Version)), slog.Int("steps", len(job.Steps)),
-		slog.Int64("age_ms", h.Wall.Now().UnixMilli()-job.Accepted), slog.Duration("jobs_read_age", h.now.Sub(h.cell.jobsReadAt)))
+	h.logTaken(job, false)
+}
+
+// logTaken logs a job that has been read from its row, or its cancel.
+func (h *Holder) logTaken(job *jobs.Job, restored bool) {
+	attrs := []slog.Attr{
+		slog.String("id", string(job.ID)), slog.String("queue", string(job.Queue)),
+		slog.String("team", string(job.Team)), slog.Bool("cancelled", job.Cancelled), slog.Bool("restored", restored),
+		slog.Uint64("version", job.RowVersion), slog.Int("steps", len(job.Steps)),
+		slog.Int64("age_ms", h.Wall.Now().UnixMilli()-job.Accepted), slog.Duration("jobs_read_age", h.now.Sub(h.cell.jobsReadAt)),
+	}
+	h.Log.Info("job_taken", attrs...)
+}
+
+// logRestoredCancels logs the cancelled jobs of a former holder.
+func (h *Holder) logRestoredCancels(restored map[jobs.ID]*jobs.Job) {
+	for _, id := range slices.Sorted(maps.Keys(restored)) {
+		if job := restored[id]; job.Cancelled {
+			h.cell.cancels.add(h.cell.planner, job, h.now)
+			h.logTaken(job, true)
+		}
+	}
 }
 
 // removed reports whether the job has been removed and the feed may still show its row.
@@ -300,6 +324,7 @@
 	if problem := job.Problem(); problem != "" {
 		return nil, eris.New(problem)
 	}
+	job.RowVersion = uint64(row.Version)
 	return &job, nil
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -411,6 +411,25 @@
 	return r != nil && r.state == runStarting
 }
 
+// ListedRuns returns the live runs of the job that a listing has shown.
+func (p *Planner) ListedRuns(id jobs.ID) []jobs.RunID {
+	j := p.jobs[id]
+	if j == nil {
+		return nil
+	}
+	var listed []jobs.RunID
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			for _, r := range t.liveRuns() {
+				if r.lastListing > 0 {
+					listed = append(listed, r.id)
+				}
+			}
+		}
+	}
+	return listed
+}
+
 // findAbsent ends the runs that the listing should have shown but did not.
 func (p *Planner) findAbsent(e *endpoint, requestedAt time.Time) {
 	for _, r := range e.sortedRuns() {
