Dispatch: log the starts that were slow, unanswered or not sent, where they are sent

A start through another instance left no line there, so that a record of that instance could not tell a start that was executed late from one that was sent late. start_slow has the run, endpoint, epoch, time before the end of the permission, duration and outcome; starts that are answered within 0.5 s of their permission are not logged. Metric slow_starts counts them by outcome.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -135,7 +135,7 @@
 	}
 	var ctx context.Context
 	ctx, a.cancel = context.WithCancel(a.ctx)
-	a.executor = NewExecutor(ctx, a.commander, a.clock, func(d duty.Runner) {
+	a.executor = NewExecutor(ctx, a.commander, a.clock, a.log, func(d duty.Runner) {
 		context.AfterFunc(ctx, d.Stop)
 		a.start(d)
 	}, func(d Done) {
--- a/dispatch/command.go
+++ b/dispatch/command.go
@@ -94,6 +94,20 @@
 	NoResponse
 )
 
+// codeNames are the names of the codes in logs and metrics.
+var codeNames = [...]string{
+	Executed: "executed", Fenced: "fenced", Refused: "refused", Ticket: "ticket",
+	NoCapacity: "no_capacity", OtherEndpoint: "other_endpoint", NoResponse: "no_response",
+}
+
+// String returns the code's name.
+func (c Code) String() string {
+	if int(c) < len(codeNames) {
+		return codeNames[c]
+	}
+	return "unknown"
+}
+
 // fleetErrors maps each code except Executed to its error.
 var fleetErrors = map[Code]error{
 	Fenced:        fleet.ErrFenced,
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -29,8 +29,12 @@
 // partitionTime is how long the tests hold back what a holder sends to an agent.
 const partitionTime = 300 * time.Millisecond
 
+// slowResponse is longer than half of what a start may take from its permission without
+// being logged, and shorter than the timeout of a start.
+const slowResponse = 300 * time.Millisecond
+
 // fakeCommander is a fleet.Commander whose response depends on the endpoint's ID:
-// "unresponsive" never responds, "fenced" returns ErrFenced.
+// "unresponsive" never responds, "fenced" returns ErrFenced, "slow" responds after slowResponse.
 type fakeCommander struct {
 	mu     sync.Mutex
 	starts []jobs.RunID
@@ -58,6 +62,8 @@
 		return eris.Wrap(fleet.ErrNoResponse, "no answer")
 	case "fenced":
 		return fleet.ErrFenced
+	case "slow":
+		time.Sleep(slowResponse)
 	}
 	return nil
 }
@@ -321,7 +327,7 @@
 		group := duty.NewGroup(ctx)
 		commander := &fakeCommander{}
 		done := make(chan dispatch.Done, 2)
-		executor := dispatch.NewExecutor(ctx, commander, clock.Boot{}, func(d duty.Runner) {
+		executor := dispatch.NewExecutor(ctx, commander, clock.Boot{}, logging.Discard(), func(d duty.Runner) {
 			context.AfterFunc(ctx, d.Stop)
 			group.Start(d)
 		}, func(d dispatch.Done) { done <- d })
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"expvar"
+	"log/slog"
 	"strconv"
 	"time"
 
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/fleet"
+	"github.com/hornbeamworks/hornbeam/logging"
 )
 
 // maxCallThreads bounds the calls of an instance in flight: one listing for each of
@@ -15,6 +18,13 @@
 // response.
 const maxCallThreads = 768
 
+// slowStarts counts the starts that are logged, by outcome.
+var slowStarts = expvar.NewMap("slow_starts")
+
+// slowStartTime is the time from the decision of a start to its outcome from which on it is
+// logged.
+const slowStartTime = 500 * time.Millisecond
+
 // callThread is a duty with a thread of its own that makes one call at a time.
 type callThread struct{ *duty.Duty[Command] }
 
@@ -30,6 +40,7 @@
 	ctx       context.Context
 	commander fleet.Commander
 	clock     clock.Clock
+	log       *logging.Logger
 	start     func(duty.Runner)
 	done      func(Done)
 	threads   int
@@ -38,8 +49,8 @@
 
 // NewExecutor returns an Executor without threads. Cancelling ctx ends its calls.
 // start runs a duty; done is called on the thread that made the call.
-func NewExecutor(ctx context.Context, commander fleet.Commander, c clock.Clock, start func(duty.Runner), done func(Done)) *Executor {
-	return &Executor{ctx: ctx, commander: commander, clock: c, start: start, done: done}
+func NewExecutor(ctx context.Context, commander fleet.Commander, c clock.Clock, log *logging.Logger, start func(duty.Runner), done func(Done)) *Executor {
+	return &Executor{ctx: ctx, commander: commander, clock: c, log: log, start: start, done: done}
 }
 
 // Execute hands the command to an idle thread. It returns false when too many calls
@@ -78,14 +89,19 @@
 
 // call executes the command, unless it has expired. It runs on the thread of a callThread.
 func (c *Executor) call(command Command) Outcome {
-	if command.expired(c.clock.Now()) {
-		return command.expiredOutcome()
+	calledAt := c.clock.Now()
+	if command.expired(calledAt) {
+		outcome := command.expiredOutcome()
+		c.logSlowStart(command, outcome, calledAt, false)
+		return outcome
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, command.Timeout())
 	defer cancel()
 	switch {
 	case command.Start != nil:
-		return outcomeOf(command.ID, fleet.Listing{}, c.commander.Start(ctx, *command.Start))
+		outcome := outcomeOf(command.ID, fleet.Listing{}, c.commander.Start(ctx, *command.Start))
+		c.logSlowStart(command, outcome, calledAt, true)
+		return outcome
 	case command.Stop != nil:
 		return outcomeOf(command.ID, fleet.Listing{}, c.commander.Stop(ctx, *command.Stop))
 	default:
@@ -93,3 +109,26 @@
 		return outcomeOf(command.ID, listing, err)
 	}
 }
+
+// logSlowStart logs a start that had no response, or was answered slowStartTime or more
+// after its permission began, which is SendWindow before its end or later. The endpoint
+// may execute the first kind after its sender has given it up.
+func (c *Executor) logSlowStart(command Command, o Outcome, calledAt time.Time, sent bool) {
+	start := command.Start
+	if start == nil {
+		return
+	}
+	now := c.clock.Now()
+	permittedAt, beforeEnd := calledAt, time.Duration(0)
+	if !command.validUntil.IsZero() {
+		permittedAt, beforeEnd = command.validUntil.Add(-SendWindow), command.validUntil.Sub(calledAt)
+	}
+	if sent && o.Code != NoResponse && now.Sub(permittedAt) < slowStartTime {
+		return
+	}
+	slowStarts.Add(o.Code.String(), 1)
+	c.log.Warn("start_slow", slog.String("id", string(start.Run.Task.Job)), slog.String("run", start.Run.String()),
+		slog.String("endpoint", string(start.Target.ID)), slog.Uint64("epoch", start.Epoch), slog.Bool("sent", sent),
+		slog.Duration("before_end", beforeEnd), slog.Duration("took", now.Sub(calledAt)),
+		slog.Duration("since_permission", now.Sub(permittedAt)), slog.String("outcome", o.Code.String()), slog.String("error", o.Reason))
+}
--- a/holder/commands.go
+++ b/holder/commands.go
@@ -74,7 +74,7 @@
 func newCommands(h *Holder) *commands {
 	c := h.cell
 	cs := &commands{pending: map[uint64]pendingCommand{}, remotes: map[string]*remote{}}
-	cs.sender = dispatch.NewExecutor(c.ctx, h.Command, h.Clock, func(d duty.Runner) { c.start(h, d) }, func(d dispatch.Done) {
+	cs.sender = dispatch.NewExecutor(c.ctx, h.Command, h.Clock, h.Log, func(d duty.Runner) { c.start(h, d) }, func(d dispatch.Done) {
 		h.post(commandDoneMessage{epoch: c.epoch, done: d})
 	})
 	return cs
