Jobs: record the time of a cancel in the job's row, for the holder's log

job_taken of a cancel did not tell how long it had stood in the table: a holder that had read it late could not be told from one that had acted late. The row has cancelled_at in Unix milliseconds, and job_taken cancel_age_ms. No decision depends on it; older builds ignore the field, and rows that they write have no age in the log.

The tests fail without the field and the attribute, which did not exist before.

--- a/front/cancel.go
+++ b/front/cancel.go
@@ -64,7 +64,7 @@
 	if job.Cancelled {
 		return Answer{Code: result.OK, State: jobs.Cancelled}, true
 	}
-	job.Cancelled = true
+	job.Cancelled, job.CancelledAt = true, w.f.Wall.Now().UnixMilli()
 	return w.writeCancel(key, row.Version, &job), true
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -430,6 +430,7 @@
 		var job jobs.Job
 		Expect(json.Unmarshal(t.rows["jobs//a"], &job)).To(Succeed())
 		Expect(job.Cancelled).To(BeTrue())
+		Expect(time.UnixMilli(job.CancelledAt)).To(BeTemporally("~", time.Now(), time.Minute), "for the holder's log")
 	})
 
 	It("is answered if the reply to its write was lost", func() {
--- a/holder/aftercancel_test.go
+++ b/holder/aftercancel_test.go
@@ -90,6 +90,16 @@
 		Expect(taken[1]).To(And(ContainSubstring("cancelled=true"), ContainSubstring("version=43"), ContainSubstring("restored=false")))
 	})
 
+	It("has the age of the cancel if its front has recorded the time", func() {
+		h.readJobAt(41, job)
+		timed := cancelled
+		timed.CancelledAt = h.Wall.Now().Add(-time.Minute).UnixMilli()
+		h.readJobAt(43, timed)
+		taken := linesOf(&logged, "job_taken")
+		Expect(taken[0]).NotTo(ContainSubstring("cancel_age_ms"))
+		Expect(taken[1]).To(MatchRegexp(`cancel_age_ms=6\d{4} `))
+	})
+
 	It("names each run once that is listed for the first time after the cancel", func() {
 		runs := start()
 		answer(runs[0], dispatch.NoResponse)
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -295,6 +295,9 @@
 		slog.Uint64("version", job.RowVersion), slog.Int("steps", len(job.Steps)),
 		slog.Int64("age_ms", h.Wall.Now().UnixMilli()-job.Accepted), slog.Duration("jobs_read_age", h.now.Sub(h.cell.jobsReadAt)),
 	}
+	if job.CancelledAt > 0 {
+		attrs = append(attrs, slog.Int64("cancel_age_ms", h.Wall.Now().UnixMilli()-job.CancelledAt))
+	}
 	h.Log.Info("job_taken", attrs...)
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -92,6 +92,9 @@
 	Accepted int64 `json:"at"`
 	// Cancelled is set when the caller has cancelled the job.
 	Cancelled bool `json:"cancelled,omitempty"`
+	// CancelledAt is when the front cancelled the job, in Unix milliseconds; 0 if an older
+	// build did.
+	CancelledAt int64 `json:"cancelled_at,omitempty"`
 	// RowVersion is the version of the row that the job was read from; 0 if it was not
 	// read from a row.
 	RowVersion uint64 `json:"-"`
