Holder: cancels under feed replies in pieces, lost queues and silent endpoints

Extends the random sequences of the holder's view of the jobs: feed replies of two changes whose version is that of the last of them, queues that leave the configuration, and endpoints that do not reply, refuse, or lose replies, with tasks of 0.3 s that a cancel has to stop.

--- a/holder/lostcancel_property_test.go
+++ b/holder/lostcancel_property_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hornbeamworks/hornbeam/catalog"
 	"github.com/hornbeamworks/hornbeam/clock"
 	"github.com/hornbeamworks/hornbeam/duty"
 	"github.com/hornbeamworks/hornbeam/election"
@@ -87,8 +88,11 @@
 	table   *platform.Table
 	checker *platformtest.Checker
 	holders []*holder.Holder
-	current int
-	epoch   uint64
+	// catalogs are the configurations, of which one has no queue for the jobs.
+	catalogs  []*catalog.Catalog
+	endpoints []*platformtest.Endpoint
+	current   int
+	epoch     uint64
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -129,6 +133,13 @@
 		p.repair()
 	case n < 98:
 		p.server.DiscardHistory()
+	case n < 99:
+		modes := []platformtest.FaultMode{platformtest.Serving, platformtest.Silent, platformtest.Refusing, platformtest.LosingReplies}
+		p.endpoints[p.random.IntN(len(p.endpoints))].SetFaultMode(modes[p.random.IntN(len(modes))])
+	case n < 100:
+		for _, h := range p.holders {
+			h.SetCatalog(p.catalogs[p.random.IntN(len(p.catalogs))])
+		}
 	}
 }
 
@@ -230,6 +241,12 @@
 	p.active = on
 	if !on {
 		p.repair()
+		for _, e := range p.endpoints {
+			e.SetFaultMode(platformtest.Serving)
+		}
+		for _, h := range p.holders {
+			h.SetCatalog(p.catalogs[0])
+		}
 	}
 }
 
@@ -332,6 +349,9 @@
 	}
 	server.SetPageRows(cancelPageRows)
 	server.SetNewestOnly(seed%3 == 0)
+	if seed%4 == 1 {
+		server.SetFeedRows(2)
+	}
 	server.SetOnCall(func(path string) {
 		// Between two pages, two parts, or a scan and the feed.
 		if strings.HasSuffix(path, "rows-get") || p.chance(0.3) {
@@ -358,14 +378,18 @@
 	if err != nil {
 		return err
 	}
-	for i := range 2 {
-		_, stop := platformtest.NewEndpoint(fmt.Sprintf("e%d", i), p.checker, server, 20*time.Millisecond)
+	for i, taskTime := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
+		e, stop := platformtest.NewEndpoint(fmt.Sprintf("e%d", i), p.checker, server, taskTime)
 		stops = append(stops, stop)
+		p.endpoints = append(p.endpoints, e)
 	}
 	row, err := platform.Source{}.OperatorRow(storage.Row{Key: "op//config", Value: storage.Encode(platformtest.Config(1))}, false)
 	if err != nil {
 		return err
 	}
+	withoutQueue := *row.Catalog
+	withoutQueue.Queues = nil
+	p.catalogs = []*catalog.Catalog{row.Catalog, &withoutQueue}
 	for range 2 {
 		var table storage.FeedTable = platform.NewTable(server.Address, true)
 		if seed%2 == 0 {
