Planner: a finished job opens no further steps or occurrences

The log line of the cell counted tasks of jobs that no longer exist as pending, and the holder kept such jobs in memory as long as it held the cell. A run of a cancelled or failed job that ended as done before its stop completed its step, which opened the next one; a listing opened an occurrence that had become due. Opened steps are removed from the open ones when the job finishes, which had happened by then. No task of them was started, since steps of closing jobs are not placed. Now nothing is opened once the final state is decided.

--- a/planner/job.go
+++ b/planner/job.go
@@ -215,8 +215,11 @@
 }
 
 // openNext opens the steps of the occurrence whose prerequisites are
-// complete.
+// complete, unless the job's final state is decided.
 func (j *job) openNext(occurrence int) {
+	if j.outcome != "" {
+		return
+	}
 	for i := range j.Steps {
 		s := j.step(occurrence, i)
 		if s != nil && s.prerequisitesDone() {
@@ -245,7 +248,7 @@
 }
 
 func (j *job) openDueOccurrences() {
-	for j.openedOccurrences < j.OccurrenceCount() && j.dueAt(j.openedOccurrences) <= j.p.wallMillis {
+	for j.outcome == "" && j.openedOccurrences < j.OccurrenceCount() && j.dueAt(j.openedOccurrences) <= j.p.wallMillis {
 		j.openOccurrence()
 	}
 }
