--- a/front/front_test.go
+++ b/front/front_test.go
@@ -535,6 +535,9 @@
 		Expect(answer.Code).To(Equal(result.OK))
 		Expect(answer.State).To(Equal(jobs.Cancelled))
 		Expect(t.jobCancelled("a")).To(BeTrue())
+		var job jobs.Job
+		Expect(json.Unmarshal(t.rows["jobs//a"], &job)).To(Succeed())
+		Expect(time.UnixMilli(job.CancelledAt)).To(BeTemporally("~", time.Now(), time.Minute), "for the holder's log")
 	})
 
 	// The answer was 200 with the state queued, and the job ran to its end.
--- a/holder/commands.go
+++ b/holder/commands.go
@@ -74,7 +74,7 @@
 func newCommands(h *Holder) *commands {
 	c := h.cell
 	cs := &commands{pending: map[uint64]pendingCommand{}, remotes: map[string]*remote{}}
-	cs.sender = dispatch.NewExecutor(c.ctx, h.Command, h.Clock, func(d duty.Runner) { c.start(h, d) }, func(d dispatch.Done) {
+	cs.sender = dispatch.NewExecutor(c.ctx, h.Command, h.Clock, h.Log, func(d duty.Runner) { c.start(h, d) }, func(d dispatch.Done) {
 		h.post(commandDoneMessage{epoch: c.epoch, done: d})
 	})
 	return cs
@@ -275,6 +275,7 @@
 		h.cell.planner.StartRefused(p.command.Start.Run, fleet.ErrRefused)
 	case p.command.Start != nil:
 		h.logFailedCommand("start", p.command.Target(), p.command.Start.Run, err)
+		h.cell.cancels.giveUp(p.command.Start.Run, h.now)
 		h.cell.planner.StartSettled(p.command.Start.Run)
 		h.cell.planner.OutcomeUnknown(p.command.Start.Run)
 	case p.command.Stop != nil:
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -135,6 +135,8 @@
 	jobsReadAt time.Time
 	// registryReadAt is the same for the registry.
 	registryReadAt time.Time
+	// cancels contains the jobs that have been cancelled recently.
+	cancels cancelledJobs
 	// viewOld is set while the planner's view is too old to start tasks.
 	viewOld bool
 	// inheritedLeaseEnd is the time by which every endpoint lease that a
