Write submissions of one ID one after the other

What callers saw: nothing yet; found by the review. Two teams that submitted one ID at once at one instance both got 200, and the row of one job replaced that of the other (LOST).

Cause: submissions that wait for the writer are written in one transaction, whose conditions hold for both: no row says that the ID was accepted.

Fix: a further submission of an ID is written after the first, and conflicts.

Evidence: the test got two 200 before, and gets 200 and 409 now.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -766,3 +766,28 @@
 		}, "3s", "50ms").Should(Equal(result.OK))
 	})
 })
+
+// LOST: two owners got 200 for one ID, and only one of the jobs was stored.
+var _ = Describe("An ID that two teams submit at once", func() {
+	It("is accepted from one of them", func() {
+		t := &scriptedTable{proceed: make(chan struct{})}
+		f := startFront(t)
+		group := duty.NewGroup(context.Background())
+		group.Serve(func(context.Context) error {
+			submit(f, "b", "key")
+			return nil
+		})
+		time.Sleep(100 * time.Millisecond) // the writer waits for the reply to the write of b
+		codes := make(chan result.Code, 2)
+		for _, key := range []string{"key", "other"} {
+			group.Serve(func(context.Context) error {
+				codes <- submit(f, "a", key).Code
+				return nil
+			})
+		}
+		time.Sleep(100 * time.Millisecond) // both wait for the writer
+		close(t.proceed)
+		Expect(group.Wait()).To(Succeed())
+		Expect([]result.Code{<-codes, <-codes}).To(ConsistOf(result.OK, result.KeyReused))
+	})
+})
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -137,21 +137,28 @@
 }
 
 // byPart groups submissions by the part of their rows. A write to several parts takes
-// twice as long as one to a single part and waits for all of them.
+// twice as long as one to a single part and waits for all of them. A further submission of an
+// ID is written after the first one, so that the table decides which of them is accepted.
 func (w *submissionWriter) byPart(batch []*submission) [][]*submission {
-	var groups [][]*submission
+	var groups, further [][]*submission
 	at := map[int]int{}
+	found := map[jobs.ID]bool{}
 	for _, s := range batch {
+		if found[s.job.ID] {
+			further = append(further, []*submission{s})
+			continue
+		}
+		found[s.job.ID] = true
 		part := w.f.Parts.Of(s.job.ID)
-		i, found := at[part]
-		if !found {
+		i, known := at[part]
+		if !known {
 			i = len(groups)
 			at[part] = i
 			groups = append(groups, nil)
 		}
 		groups[i] = append(groups[i], s)
 	}
-	return groups
+	return append(groups, further...)
 }
 
 // accept writes the jobs in one transaction. If the row of one of them exists, each
