--- a/holder/oddrows_test.go
+++ b/holder/oddrows_test.go
@@ -146,3 +146,36 @@
 		Expect(f.state(id)).To(Equal(jobs.Running))
 	})
 })
+
+// TWICE: done tasks would run again.
+var _ = Describe("A job whose progress can't be read for a time", func() {
+	It("starts no task until it can be read, and no done task of it runs again", func() {
+		f := newCellFixture()
+		f.endpoint("first", 300*time.Millisecond)
+		id := f.submitSized(6, fullEndpoint)
+		Eventually(func() int { return f.done(id) }, oddWait, "10ms").Should(BeNumerically(">=", 2))
+		f.holder.Deposed()
+		row, err := f.table.Get(context.Background(), "progress//"+string(id))
+		Expect(err).NotTo(HaveOccurred())
+		f.server.PutRaw("progress", string(id), []byte("{"))
+		started := f.startsOf(id)
+		f.succeed(2)
+		f.completes(f.submit(3), oddWait)
+		Consistently(func() int { return f.startsOf(id) }, "1s", "20ms").Should(Equal(started))
+		f.server.PutRaw("progress", string(id), row.Value)
+		f.succeed(3)
+		f.completes(id, 2*oddWait)
+		Expect(f.checker.Violations()).To(BeEmpty())
+	})
+})
+
+// startsOf returns the number of runs of the job's tasks.
+func (f *cellFixture) startsOf(id jobs.ID) int {
+	n := 0
+	for _, r := range f.checker.Runs() {
+		if strings.HasPrefix(r.Task, string(id)) {
+			n++
+		}
+	}
+	return n
+}
