Record a moved request that is cancelled before it arrives

A request that was being moved to another failure domain was cancelled and answered as not run, and ran afterwards.

The shard that got the cancel before the request answered it and recorded nothing, so that an earlier call with the request, which arrived late, was accepted.

Fix: the request is recorded and then cancelled, and its home is answered once the record is durable, like any other cancel.

--- a/sched/delegation.go
+++ b/sched/delegation.go
@@ -52,9 +52,6 @@
 	if !s.now.Before(request.Deadline) {
 		return result.Answer(item.ID, result.OutcomeUnknown, "the window ended before shard "+s.id.String()+" could take the request")
 	}
-	if item.Cancel {
-		return result.Answer(item.ID, result.Cancelled, "cancelled by the caller")
-	}
 	if len(s.active) >= s.settings.MaxOpen || s.unrecorded() >= s.settings.MaxUnrecorded {
 		return result.Answer(item.ID, result.UnknownRequest, "shard "+s.id.String()+" has as many open requests as it takes")
 	}
@@ -64,6 +61,11 @@
 	}
 	r := s.newRecord(request)
 	r.fire(s.requestChart.submitted)
+	if item.Cancel {
+		// The record keeps an earlier call with the request from being accepted.
+		s.cancel(r)
+		return pending(item.ID)
+	}
 	if !request.Spec.NotRepeatable {
 		s.handOver(r)
 	}
