Fault proxy: hold back the connections of single calls

A partition holds back every connection of a link, so that a test could not show what happens if one call is delivered seconds late while other connections work. HoldContaining holds back the chunks that contain a text. A test shows that held bytes are delivered although the client has closed the connection, as a kernel does; it does not compile without the new field.

--- a/faultproxy/copy.go
+++ b/faultproxy/copy.go
@@ -31,7 +31,7 @@
 // false when no more bytes are to be copied.
 func (p *Proxy) forwardChunk(dir direction, chunk []byte, from, to *net.TCPConn) bool {
 	reply := make(chan action, 1)
-	v, ok := postAndWait(p, chunkMessage{dir, reply}, reply)
+	v, ok := postAndWait(p, chunkMessage{dir, chunk, reply}, reply)
 	switch {
 	case !ok || v.reset:
 		reset(from)
--- a/faultproxy/faults.go
+++ b/faultproxy/faults.go
@@ -1,6 +1,9 @@
 package faultproxy
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // Faults are the faults that a proxy injects. The zero value forwards
 // everything unchanged.
@@ -19,6 +22,9 @@
 	// Partitioned holds all bytes back until it is cleared, as a network partition
 	// does: bytes sent in the meantime arrive late.
 	Partitioned bool
+	// HoldContaining holds back, until it is changed, the chunks that contain the text, and
+	// with each of them all later ones of its connection; empty for none.
+	HoldContaining string
 	// Delay is added to the transfer of each chunk.
 	Delay time.Duration
 	// Jitter is the upper bound of a random time added to Delay.
@@ -34,6 +40,11 @@
 	ResetProbability float64
 }
 
+// holds reports whether the chunk is held back.
+func (d DirectionFaults) holds(chunk []byte) bool {
+	return d.Partitioned || d.HoldContaining != "" && bytes.Contains(chunk, []byte(d.HoldContaining))
+}
+
 // Partition returns the faults of a partition in both directions.
 func Partition() Faults {
 	return Faults{Up: DirectionFaults{Partitioned: true}, Down: DirectionFaults{Partitioned: true}}
@@ -54,7 +65,7 @@
 	Connections int
 	// Chunks is the number of chunks forwarded.
 	Chunks int
-	// Held is the number of chunks held back by a partition.
+	// Held is the number of chunks held back.
 	Held int
 	// Lost is the number of connections on which bytes were dropped.
 	Lost int
--- a/faultproxy/injector.go
+++ b/faultproxy/injector.go
@@ -30,9 +30,11 @@
 
 type (
 	// chunkMessage requests the action for a chunk; the reply is withheld
-	// while the direction is partitioned.
+	// while the direction is partitioned or the chunk is to be held. The chunk is not
+	// changed before the reply.
 	chunkMessage struct {
 		dir   direction
+		chunk []byte
 		reply chan<- action
 	}
 	// connectionMessage requests the action for a new connection.
@@ -74,7 +76,7 @@
 
 func (m chunkMessage) apply(f *faultInjector) {
 	faults := f.faultsFor(m.dir)
-	if faults.Partitioned {
+	if faults.holds(m.chunk) {
 		f.held[m.dir] = append(f.held[m.dir], m)
 		return
 	}
--- a/faultproxy/proxy_test.go
+++ b/faultproxy/proxy_test.go
@@ -97,6 +97,18 @@
 		Eventually(reply).WithTimeout(testTimeout).Should(Receive(Equal("late")))
 	})
 
+	// A kernel delivers what was written before the connection was closed.
+	It("delivers the bytes that it has held back though the client has closed the connection", func() {
+		s := newFixture()
+		s.proxy.Set(faultproxy.Faults{Up: faultproxy.DirectionFaults{HoldContaining: "late"}})
+		_, err := s.call(hangTimeout, "late")
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect(s.call(testTimeout, "other")).To(Equal("other"))
+		Expect(s.calls.Load()).To(Equal(int64(1)))
+		s.proxy.Set(faultproxy.Faults{})
+		Eventually(s.calls.Load).WithTimeout(testTimeout).Should(Equal(int64(2)))
+	})
+
 	It("partitions one direction only", func() {
 		s := newFixture()
 		s.proxy.Set(faultproxy.Faults{Down: faultproxy.DirectionFaults{Partitioned: true}})
