Give a start a deadline of its own, nearer than the lease

Cause: a start carried the end of the endpoint's lease, 5 s after sending, while the holder gives it up after 1 s. The stop that follows is repeated until it is confirmed, but on a link that is held as a whole it arrives together with the start, and the endpoint executes them in any order.

A start now carries startLifetime, 1.1 s after sending: the 0.9 s in which it may be sent and executed, and 0.2 s for the age of the reading of the endpoint's clock. The endpoint refuses it after that. With the oldest view of the jobs (1.8 s) and a clock that is 2 % slow, that is before 3 s after the acknowledgement. If the last renewal took longer than its wait and 0.2 s, the deadline is later by the rest, so that a slow holder's starts are not refused.

The deadline of a start is also a lease, so that it is only nearer once a listing of the same incarnation has confirmed a lease that ends later; otherwise the start carries the whole lease, as before. The first renewal with a lease is answered at once, so that this lasts for one call after the first listing. leaseUntil and leaseEndsBy are not changed by a nearer deadline; leaseArrivesBy is, since a new incarnation may grant the longest lease to it. A start between two renewals no longer extends the lease of all runs of the endpoint, which is extended by renewals alone, as it was for an endpoint without starts.

--- a/holder/runcommands.go
+++ b/holder/runcommands.go
@@ -63,7 +63,7 @@
 	}
 	sent := h.sendCommand(s, dispatch.Command{Start: &fleet.Start{
 		Target: s.target(), Run: start.Run, Spec: start.Spec, Saved: start.Saved, Ticket: start.Ticket,
-		Until: h.extendLease(s), Epoch: h.cell.epoch,
+		Until: h.startUntil(s), Epoch: h.cell.epoch,
 	}})
 	if !sent {
 		h.cell.planner.StartRefused(start.Run, fleet.ErrRefused)
--- a/holder/sessions.go
+++ b/holder/sessions.go
@@ -24,6 +24,12 @@
 	maxClockDrift = 0.021
 	// leaseMargin is added to the end of a lease before it counts as expired.
 	leaseMargin = 100 * time.Millisecond
+	// startLifetime is the time after sending until which an endpoint may execute a start: the
+	// holder gives it up after dispatch.SendWindow and dispatch.StartStopTimeout.
+	startLifetime = dispatch.SendWindow + dispatch.StartStopTimeout + readingAllowance
+	// readingAllowance is the least time by which the holder's reading of an endpoint's clock
+	// is taken to be behind: the endpoint's response took it, and its handling.
+	readingAllowance = 200 * time.Millisecond
 	// listWait is how long an endpoint delays a listing until a run ends.
 	listWait = 600 * time.Millisecond
 	// recordWait is how long the next renewal is delayed until the ends in the
@@ -58,6 +64,9 @@
 	// incarnation's first listing. startTime identifies the incarnation.
 	clock       fleet.EndpointTime
 	clockReadAt time.Time
+	// readingTime is the time that the last renewal took beyond its wait. A slow instance is
+	// late to handle the response.
+	readingTime time.Duration
 	startTime   int64
 	// startTimeReceivedAt is when the holder learned of the incarnation.
 	startTimeReceivedAt time.Time
@@ -66,6 +75,9 @@
 	// endpoint's clock is slow.
 	leaseUntil  fleet.EndpointTime
 	leaseEndsBy time.Time
+	// leaseConfirmed is the latest end of a lease that the incarnation is known to have
+	// granted, on the endpoint's clock; 0 for none.
+	leaseConfirmed fleet.EndpointTime
 	// leaseArrivesBy is the time by which every command with a lease has been executed
 	// or lost; zero before the first one.
 	leaseArrivesBy time.Time
@@ -156,7 +168,7 @@
 	s.startTime, s.startTimeReceivedAt = startTime, now
 	s.lastListedEnd, s.lastRecordedEnd, s.lastDiscardedEnd = 0, 0, 0
 	s.unrecordedEnds = nil
-	s.leaseUntil, s.clock = 0, 0
+	s.leaseUntil, s.leaseConfirmed, s.clock = 0, 0, 0
 }
 
 // observeIncarnation applies a restart of the endpoint. A command that was on its way
@@ -192,6 +204,10 @@
 	if s.lastListedEnd != s.lastRecordedEnd || s.clock == 0 {
 		renewal.Wait = 0
 	}
+	if s.failures == 0 && s.leaseConfirmed == 0 {
+		// Until the first lease is confirmed, starts carry its end.
+		renewal.Wait = 0
+	}
 	s.renewing = h.sendCommand(s, dispatch.Command{Renew: &renewal})
 }
 
@@ -201,15 +217,35 @@
 // and leaseEndsBy. The endpoint's clock was at least clock at clockReadAt and may
 // have run slow since.
 func (h *Holder) extendLease(s *session) fleet.EndpointTime {
-	elapsed := h.now.Sub(s.clockReadAt)
-	until := s.clock + fleet.EndpointTime((elapsed + h.leaseDuration()).Milliseconds())
-	s.leaseUntil = max(s.leaseUntil, until)
+	s.leaseUntil = max(s.leaseUntil, h.endpointTime(s, h.leaseDuration()))
 	span := time.Duration(s.leaseUntil-s.clock) * time.Millisecond
 	s.leaseEndsBy = latest(s.leaseEndsBy, s.clockReadAt.Add(expiryBound(span)))
-	s.leaseArrivesBy = h.now.Add(listWait + dispatch.ListTimeout + remoteAllowance)
+	h.markLeaseSent(s)
 	return s.leaseUntil
 }
 
+// startUntil returns the time on the endpoint's clock until which it may execute a start
+// that is sent now. The run's lease ends then, too, unless the endpoint has granted a longer
+// one: until it has confirmed that, the start carries the end of a whole lease.
+func (h *Holder) startUntil(s *session) fleet.EndpointTime {
+	until := h.endpointTime(s, startLifetime+max(0, s.readingTime-readingAllowance))
+	if s.leaseConfirmed < until {
+		return h.extendLease(s)
+	}
+	h.markLeaseSent(s)
+	return until
+}
+
+// endpointTime returns the time of the endpoint's clock d from now. The clock may be ahead of it
+// by the time that its last reading took, or behind it if it runs slow.
+func (h *Holder) endpointTime(s *session, d time.Duration) fleet.EndpointTime {
+	return s.clock + fleet.EndpointTime((h.now.Sub(s.clockReadAt) + d).Milliseconds())
+}
+
+func (h *Holder) markLeaseSent(s *session) {
+	s.leaseArrivesBy = h.now.Add(listWait + dispatch.ListTimeout + remoteAllowance)
+}
+
 // checkLease marks an endpoint as leaving if its entry has been missing for
 // removalGrace. Once the lease of an unresponsive endpoint has expired, it notifies
 // the planner, and removes the endpoint if its entry is missing as well.
@@ -254,9 +290,11 @@
 		h.Log.Info("endpoint_regained", slog.String("endpoint", string(s.id)), slog.Int("failures", s.failures))
 	}
 	s.failures = 0
+	s.readingTime = h.now.Sub(p.sentAt) - p.command.Renew.Wait
 	h.applyListing(s, p.sentAt, o.Listing)
 	if o.Listing.Born == s.startTime && !p.sentAt.Before(s.startTimeReceivedAt) {
 		s.lastDiscardedEnd = max(s.lastDiscardedEnd, p.command.Renew.Forget)
+		s.leaseConfirmed = max(s.leaseConfirmed, p.command.Renew.Until)
 	}
 }
 
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -35,8 +35,8 @@
 	// without a response, the next one succeeds within maxJobsAge of the last.
 	jobsWait = 400 * time.Millisecond
 	// maxJobsAge is the greatest age of the planner's jobs at which starts are decided and
-	// sent. A task may start 3 s after its job's cancel was acknowledged; it may take
-	// dispatch.SendWindow and dispatch.StartStopTimeout to reach the endpoint.
+	// sent. A task may start 3 s after its job's cancel was acknowledged; the endpoint may
+	// execute its start for startLifetime.
 	maxJobsAge = 1800 * time.Millisecond
 	// maxOperatorsAge is the same for the operators' rows: a task may start in a failure
 	// domain up to 5 s after its evacuation was acknowledged.
