Call the table directly soon after a connection to it has gone silent

The lease was lost, and a take-over followed.

Evidence: the test of relay fails before (the call is relayed, and fails) and passes now.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,7 +26,10 @@
 	callTimeout = 500 * time.Millisecond
 	// relayedWatchWait bounds the wait of a Watch through another instance.
 	relayedWatchWait = 400 * time.Millisecond
-	// directRetryPause is the time after a failed direct call before the next one.
+	// firstRetryPause is the time after the first failed direct call before the next one: it
+	// may have been sent on a connection that has gone silent. directRetryPause is that
+	// between further ones.
+	firstRetryPause  = 250 * time.Millisecond
 	directRetryPause = time.Second
 )
 
@@ -45,6 +48,8 @@
 	retryDirectAt atomic.Int64
 	// directLostAt is when direct calls began to fail, in nanoseconds of the clock.
 	directLostAt atomic.Int64
+	// answeredAt is when the table last answered a direct call, in nanoseconds of the clock.
+	answeredAt atomic.Int64
 }
 
 // New returns a table that is called through direct or through the instances at
@@ -98,8 +103,9 @@
 	ambiguous := false
 	var direct error
 	if t.tryDirect() {
+		startedAt := t.clock.Now().UnixNano()
 		reply, err := call(ctx, t.direct, r)
-		t.recordDirect(err)
+		t.recordDirect(startedAt, err)
 		if !noReply(err) {
 			return reply, err
 		}
@@ -180,16 +186,21 @@
 	return time.Duration(t.clock.Now().UnixNano() - t.directLostAt.Load())
 }
 
-func (t *Table) recordDirect(err error) {
+// recordDirect records the end of a direct call. Calls that were made before the failure that
+// is known do not delay the next attempt, and those made before the last answer show nothing.
+func (t *Table) recordDirect(startedAt int64, err error) {
+	now := t.clock.Now().UnixNano()
 	if noReply(err) {
-		if t.retryDirectAt.Load() == 0 {
-			t.directLostAt.Store(t.clock.Now().UnixNano())
+		if startedAt < t.answeredAt.Load() || t.retryDirectAt.Load() != 0 {
+			return
 		}
-		if t.retryDirectAt.Swap(t.clock.Now().UnixNano()+int64(directRetryPause)) == 0 {
+		t.directLostAt.Store(now)
+		if t.retryDirectAt.CompareAndSwap(0, now+int64(firstRetryPause)) {
 			t.log.Warn("table_lost", slog.Any("error", err))
 		}
 		return
 	}
+	t.answeredAt.Store(now)
 	if t.retryDirectAt.Load() != 0 && t.retryDirectAt.Swap(0) != 0 {
 		t.log.Info("table_regained")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -127,6 +129,46 @@
 	})
 })
 
+// The instance that held the cell lost its lease: after one call on a connection that had gone
+// silent no other direct one was made for a second, and each that ended later began a new one.
+var _ = Describe("A table whose open connections have gone silent", func() {
+	It("is called directly soon after the first call that got no reply", func(ctx SpecContext) {
+		direct, peers := &recoveringTable{}, peerrpc.NewClient()
+		DeferCleanup(peers.Close)
+		t := relay.New(direct, peers, func() []string { return []string{"none"} }, clock.Boot{}, logging.Discard())
+		var calls sync.WaitGroup
+		for _, timeout := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+			calls.Go(func() {
+				callCtx, cancel := context.WithTimeout(ctx, timeout)
+				defer cancel()
+				_, _ = t.Get(callCtx, "t//a")
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		direct.recovered.Store(true)
+		time.Sleep(350 * time.Millisecond)
+		_, err := t.Get(ctx, "t//a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.RelayedFor()).To(BeZero())
+		calls.Wait()
+		Expect(t.RelayedFor()).To(BeZero(), "a call from before has ended since")
+	})
+})
+
+// recoveringTable does not reply to calls that begin before it has recovered.
+type recoveringTable struct {
+	storage.FeedTable
+	recovered atomic.Bool
+}
+
+func (t *recoveringTable) Get(ctx context.Context, _ string) (storage.Row, error) {
+	if !t.recovered.Load() {
+		<-ctx.Done()
+		return storage.Row{}, storage.ErrUnavailable
+	}
+	return storage.Row{}, nil
+}
+
 // silentTable is a table that does not reply to writes.
 type silentTable struct{ storage.FeedTable }
 
