Do not wait for changes after a slow read of a feed

What callers saw: nothing yet; found by the review.

Fix: after a read that took 0.2 s beyond its wait the next one does not wait, as after a failed one, and reads of the registry wait 0.2 s. After one lost read, starts pause for some 0.2 s. The view's age is not logged before the registry was read.

Evidence: the test of the feed fails before. Whole packages feed and holder pass.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -27,6 +27,9 @@
 	// maxParallelScans is the number of prefixes that are scanned in parallel: while the table
 	// is slow, the rows of many parts would be out of date before the last one is read.
 	maxParallelScans = 8
+	// slowCallTime is the time beyond its wait from which on a call is slow. The next one does
+	// not wait for a change: the rows would be out of date by both times.
+	slowCallTime = 200 * time.Millisecond
 	// retryPause is the least time between a failed call and the next one.
 	retryPause = 200 * time.Millisecond
 )
@@ -75,8 +78,9 @@
 	cancel      context.CancelFunc
 	version     storage.RowVersion
 	unavailable bool
-	// unconfirmed is set until a call for changes succeeds, and after a failed one. The next
-	// one does not wait for a change, so that its response shows at once how recent the rows are.
+	// unconfirmed is set until a call for changes succeeds in time, and after a failed or slow
+	// one. The next one does not wait for a change, so that its response shows at once how
+	// recent the rows are.
 	unconfirmed bool
 }
 
@@ -170,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	f.version, f.unconfirmed = found.Version, false
+	f.version, f.unconfirmed = found.Version, f.Clock.Now().Sub(requestedAt) > wait+slowCallTime
 	f.Sink(Update{Changes: found.Changes, RequestedAt: requestedAt, Version: found.Version})
 	return nil
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -88,6 +88,16 @@
 		Expect(table.waits).To(Equal([]time.Duration{0, 0, wait}))
 	})
 
+	// LOST: at 0.5 s for a call, nothing was started for most of the time, since each read also
+	// waited for a change.
+	It("does not wait for changes after a slow read", func(ctx SpecContext) {
+		start(ctx, 0, wait+500*time.Millisecond, 500*time.Millisecond, 10*time.Millisecond, wait)
+		for range 5 {
+			Expect(f.handle(nil)).To(BeZero())
+		}
+		Expect(table.waits).To(Equal([]time.Duration{0, wait, 0, 0, wait}))
+	})
+
 	It("pauses after a read that failed quickly", func(ctx SpecContext) {
 		start(ctx)
 		f.Source = refusingTable{}
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -87,9 +87,14 @@
 	if c.viewOld {
 		counts.Add("views_too_old", 1)
 	}
-	h.Log.Warn("view_age", slog.Uint64("epoch", c.epoch), slog.Bool("too_old", c.viewOld), slog.Duration("jobs_read_age", h.now.Sub(c.jobsReadAt)),
-		slog.Duration("operators_read_age", h.now.Sub(h.operatorsReadAt)), slog.Duration("registry_read_age", h.now.Sub(c.registryReadAt)),
-		slog.Int("recorded_starts", len(c.recorder.recordedStarts)))
+	attrs := []slog.Attr{
+		slog.Uint64("epoch", c.epoch), slog.Bool("too_old", c.viewOld), slog.Duration("jobs_read_age", h.now.Sub(c.jobsReadAt)),
+		slog.Duration("operators_read_age", h.now.Sub(h.operatorsReadAt)), slog.Int("recorded_starts", len(c.recorder.recordedStarts)),
+	}
+	if !c.registryReadAt.IsZero() {
+		attrs = append(attrs, slog.Duration("registry_read_age", h.now.Sub(c.registryReadAt)))
+	}
+	h.Log.Warn("view_age", attrs...)
 }
 
 func (h *Holder) logStats() {
--- a/holder/takeover.go
+++ b/holder/takeover.go
@@ -45,10 +45,10 @@
 	// registryPause is the least time between two reads of the registry feed.
 	registryPause = 300 * time.Millisecond
 	// registryWait is how long a read of the registry feed waits for a change.
-	registryWait = 400 * time.Millisecond
+	registryWait = 200 * time.Millisecond
 	// maxRegistryAge is the same for the registry: a task may start up to 2 s after the
-	// table has accepted that its endpoint leaves. One read without a response does not
-	// reach it.
+	// table has accepted that its endpoint leaves. One read without a response exceeds it by
+	// some 0.2 s.
 	maxRegistryAge = 1400 * time.Millisecond
 )
 
