Fault proxy: test that it delivers what a closed connection had sent

A real link may deliver a command after its sender has given it up and closed the connection. The proxy does this after a delay and at the end of a partition; nothing tested it. go test -race ./faultproxy passes.

--- a/faultproxy/proxy_test.go
+++ b/faultproxy/proxy_test.go
@@ -97,6 +97,21 @@
 		Eventually(reply).WithTimeout(testTimeout).Should(Receive(Equal("late")))
 	})
 
+	DescribeTable("delivers what was written before the sender has closed the connection",
+		func(faults faultproxy.Faults) {
+			s := newFixture()
+			s.proxy.Set(faults)
+			_, err := s.call(hangTimeout, "late")
+			Expect(err).To(MatchError(context.DeadlineExceeded))
+			Expect(s.calls.Load()).To(BeZero())
+			time.Sleep(hangTimeout)
+			s.proxy.Set(faultproxy.Faults{})
+			Eventually(s.calls.Load).WithTimeout(testTimeout).Should(Equal(int64(1)))
+		},
+		Entry("after a delay", faultproxy.Faults{Up: faultproxy.DirectionFaults{Delay: time.Second}}),
+		Entry("at the end of a partition", faultproxy.Partition()),
+	)
+
 	It("partitions one direction only", func() {
 		s := newFixture()
 		s.proxy.Set(faultproxy.Faults{Down: faultproxy.DirectionFaults{Partitioned: true}})
