Soak: cancel half of the jobs, and check that none of their tasks starts late

Callers saw tasks of jobs start whose cancel had been acknowledged. The soak could not see it: it cancelled one job in ten, of at most four tasks of 0.4 s, and checked nothing after the answer.

Half of the jobs are cancelled now, through another node and until a 2xx or 410: at once, later, after the first start, before the answer of the submission, or after none. A third of the jobs are long (steps that wait for one another) or gangs. No task of such a job may start 3 s after the acknowledgement was received (no exclusion), and none may go on 3.4 s after it or, if the table was disrupted, after the first such stretch that begins 3 s after a disruption. Rule UNASKED demands the end of a run only "with no disruption near".

Links to endpoints go through fault proxies. Two series of faults are new: nodes are stopped in turn, then the table refuses for 0.5 to 8 s; the feed of jobs is held; the holder is paused or its link to the table slow; nodes are short of processor time; links to endpoints are slow or partitioned and deliver late. The end of one outage no longer ends another.

--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -50,61 +50,97 @@
 // StartSite starts nodes and endpoints whose tasks take the given time, and waits
 // until the nodes have a configuration.
 func StartSite(nodes, endpoints int, work time.Duration) *Site {
-	return startSite(nodes, endpoints, work, directEndpoints)
+	return siteSettings{nodes: nodes, endpoints: endpoints, work: work, direct: directEndpoints}.start()
 }
 
 // StartDispatchingSite starts a site whose holder calls no endpoint itself as long as
 // another instance can send its commands.
 func StartDispatchingSite(nodes, endpoints int, work time.Duration) *Site {
-	return startSite(nodes, endpoints, work, 0)
+	return siteSettings{nodes: nodes, endpoints: endpoints, work: work}.start()
 }
 
 // StartDirectSite starts a site whose holder calls all endpoints itself, whatever
 // their number.
 func StartDirectSite(nodes, endpoints int, work time.Duration) *Site {
-	return startSite(nodes, endpoints, work, endpoints)
+	return siteSettings{nodes: nodes, endpoints: endpoints, work: work, direct: endpoints}.start()
 }
 
 // directEndpoints is the number of endpoints up to which the holder calls them
 // itself: more than most tests have.
 const directEndpoints = 100
 
-func startSite(nodes, endpoints int, work time.Duration, direct int) *Site {
-	return startSiteThrough(nodes, endpoints, work, direct, func(table string) string { return table })
+const (
+	// shortLinger is the time for which a stopping node of most tests accepts connections.
+	shortLinger = 300 * time.Millisecond
+	// defaultLinger is that of the product.
+	defaultLinger = 2300 * time.Millisecond
+)
+
+// siteSettings are the settings of a site.
+type siteSettings struct {
+	nodes, endpoints int
+	work             time.Duration
+	// direct is the number of endpoints up to which the holder calls them itself.
+	direct int
+	// linger is the nodes' linger; 0 means shortLinger.
+	linger time.Duration
+	// tableAddress maps the table's address to the one that a node uses, and is called
+	// once per node; endpointAddress maps an endpoint's address to the one that it
+	// registers. Nil leaves the address as it is.
+	tableAddress, endpointAddress func(string) string
 }
 
 // StartFaultySite starts a site whose nodes reach the table through a fault proxy
-// each. With an even seed, the holder's commands are sent by other instances.
-func StartFaultySite(group *duty.Group, nodes, endpoints int, work time.Duration, seed uint64) (*Site, []*faultproxy.Proxy) {
-	var proxies []*faultproxy.Proxy
-	s := startSiteThrough(nodes, endpoints, work, directEndpoints*int(seed%2), func(table string) string {
-		proxy, err := faultproxy.Listen(group, "127.0.0.1:0", table, seed)
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		proxies = append(proxies, proxy)
-		return proxy.Address()
-	})
-	return s, proxies
+// each, and every endpoint through one of the endpoint. With an even seed, the
+// holder's commands are sent by other instances; with every second eight seeds, nodes stop with
+// the product's linger.
+func StartFaultySite(group *duty.Group, nodes, endpoints int, work time.Duration, seed uint64) (s *Site, toTable, toEndpoints []*faultproxy.Proxy) {
+	through := func(proxies *[]*faultproxy.Proxy) func(string) string {
+		return func(target string) string {
+			proxy, err := faultproxy.Listen(group, "127.0.0.1:0", target, seed)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			*proxies = append(*proxies, proxy)
+			return proxy.Address()
+		}
+	}
+	settings := siteSettings{
+		nodes: nodes, endpoints: endpoints, work: work, direct: directEndpoints * int(seed%2),
+		tableAddress: through(&toTable), endpointAddress: through(&toEndpoints),
+	}
+	if seed/8%2 == 1 {
+		settings.linger = defaultLinger
+	}
+	return settings.start(), toTable, toEndpoints
 }
 
-// startSiteThrough starts a site. through maps the table's address to the one that a
-// node uses; it is called once per node.
-func startSiteThrough(nodes, endpoints int, work time.Duration, direct int, tableAddress func(table string) string) *Site {
+func (settings siteSettings) start() *Site {
+	itself := func(address string) string { return address }
+	if settings.tableAddress == nil {
+		settings.tableAddress = itself
+	}
+	if settings.endpointAddress == nil {
+		settings.endpointAddress = itself
+	}
+	settings.linger = max(settings.linger, shortLinger)
 	table, stop := platformtest.NewTable()
 	ginkgo.DeferCleanup(stop)
 	advice, stopAdvice := platformtest.NewAdvice()
 	ginkgo.DeferCleanup(stopAdvice)
 	s := &Site{Table: table, Checker: &platformtest.Checker{}, client: &http.Client{Timeout: 5 * time.Second}}
 	table.Put("op", "config", platformtest.Config(1))
-	for i := range endpoints {
-		e, stop := platformtest.NewEndpoint(fmt.Sprintf("i-%02d", i), s.Checker, table, work)
+	for i := range settings.endpoints {
+		e, stop := platformtest.NewEndpoint(fmt.Sprintf("i-%02d", i), s.Checker, table, settings.work)
 		ginkgo.DeferCleanup(stop)
+		if address := settings.endpointAddress(e.Address); address != e.Address {
+			e.RegisterAt(address)
+		}
 		s.Endpoints = append(s.Endpoints, e)
 	}
 	dir, err := os.MkdirTemp("", "hornbeam-site-")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(os.RemoveAll, dir)
-	for i := range nodes {
-		s.Nodes = append(s.Nodes, startNode(dir, i, tableAddress(table.Address), advice, direct))
+	for i := range settings.nodes {
+		s.Nodes = append(s.Nodes, settings.startNode(dir, i, settings.tableAddress(table.Address), advice))
 	}
 	for _, n := range s.Nodes {
 		n.waitReady()
@@ -112,7 +148,7 @@
 	return s
 }
 
-func startNode(dir string, number int, table, advice string, direct int) *Node {
+func (settings siteSettings) startNode(dir string, number int, table, advice string) *Node {
 	var ports []string
 	for range nodePorts {
 		ports = append(ports, freeAddress())
@@ -122,7 +158,7 @@
 	}
 	text := fmt.Sprintf("[node]\nname = node%d\ndomain = north\n\n[listen]\nfront = %s\nready = %s\npeers = %s\nmetrics = %s\n\n"+
 		"[table]\naddress = %s\nacross = true\n\n[advice]\naddress = %s\n\n[cell]\nmax_lease = 10s\ndirect_endpoints = %d\n\n"+
-		"[drain]\nlinger = 300ms\n\n[runtime]\ncpu_share = 1\nmemory = 256\n", number, ports[0], ports[1], ports[2], ports[3], table, advice, direct)
+		"[drain]\nlinger = %v\n\n[runtime]\ncpu_share = 1\nmemory = 256\n", number, ports[0], ports[1], ports[2], ports[3], table, advice, settings.direct, settings.linger)
 	gomega.Expect(os.WriteFile(n.file, []byte(text), 0o600)).To(gomega.Succeed())
 	n.Start()
 	ginkgo.DeferCleanup(n.end)
@@ -188,6 +224,9 @@
 	log := n.Log()
 	if ginkgo.CurrentSpecReport().Failed() {
 		ginkgo.AddReportEntry(filepath.Base(n.log), log[max(0, len(log)-logTail):])
+		if dir := os.Getenv(logDirectory); dir != "" {
+			gomega.Expect(os.WriteFile(filepath.Join(dir, filepath.Base(n.log)), []byte(log), 0o600)).To(gomega.Succeed())
+		}
 	}
 	for _, fault := range []string{"DATA RACE", "panic:"} {
 		if at := strings.Index(log, fault); at >= 0 {
@@ -196,6 +235,10 @@
 	}
 }
 
+// logDirectory is the environment variable with the directory to which the complete
+// logs of a failed test are copied.
+const logDirectory = "HORNBEAM_LOGS"
+
 // logTail is the size in bytes of the part of a log that a failed test reports.
 const logTail = 30000
 
@@ -246,7 +289,12 @@
 // HTTP status.
 func (s *Site) Submit(node int, id string, tasks int) int {
 	step := map[string]any{"count": tasks, "cpu": 1000, "mem-mb": 100, "est-ms": 300}
-	status, _ := s.Call(node, http.MethodPost, id, map[string]any{"spec": "x", "steps": []any{step}})
+	return s.SubmitSteps(node, id, "x", []any{step})
+}
+
+// SubmitSteps submits a job of the given steps and returns the HTTP status.
+func (s *Site) SubmitSteps(node int, id, spec string, steps []any) int {
+	status, _ := s.Call(node, http.MethodPost, id, map[string]any{"spec": spec, "steps": steps})
 	return status
 }
 
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,15 +28,21 @@
 	nodes     = 4
 	endpoints = 6
 	// callers is the number of concurrent callers.
-	callers = 4
-	// faultSeries is the number of concurrent series of faults.
+	callers = 8
+	// faultSeries is the number of concurrent series of faults, stopSeries that of
+	// series of planned stops, outages of the table and faults of links to endpoints.
 	faultSeries = 3
+	stopSeries  = 2
+	// faultPhase and calmPhase are the lengths of the phases with and without faults of
+	// some of the seeds.
+	faultPhase = 6 * time.Second
+	calmPhase  = 9 * time.Second
 	// checkPeriod is the time between checks of the guarantees.
 	checkPeriod = 200 * time.Millisecond
 	// settleTime is the time in which accepted jobs must end once the faults are
 	// cleared: the longest lease plus the bound on recovery.
 	settleTime = 30 * time.Second
-	// work is the run time of a task.
+	// work is the run time of a task of a short job.
 	work = 400 * time.Millisecond
 )
 
@@ -50,6 +58,9 @@
 	// The simulated endpoint executed a start of before its restart, which it had left
 	// unanswered; the holder had had it stopped before the restart.
 	413,
+	// A cancel that raced with the submission was answered with 200 and the state queued,
+	// without a row that said so; the job ran.
+	1002,
 }
 
 // seeds returns the seeds to run: the regressions, SOAK_SEED and the SOAK_SEEDS-1
@@ -98,34 +109,45 @@
 		cancel()
 		Expect(group.Wait()).To(Succeed())
 	})
-	site, proxies := harness.StartFaultySite(group, nodes, endpoints, work, seed)
-	run := &run{site: site, proxies: proxies, rng: rand.New(rand.NewPCG(seed, 1)), end: time.Now().Add(runTime())}
+	site, proxies, endpointProxies := harness.StartFaultySite(group, nodes, endpoints, work, seed)
+	run := &run{
+		site: site, proxies: proxies, endpointProxies: endpointProxies, seed: seed, cancelled: map[string]*acknowledgement{},
+		began: time.Now(), end: time.Now().Add(runTime()),
+	}
 
-	done := make(chan []*job, callers)
+	// The threads of a seed that has failed must not go on while the next one runs.
+	var threads sync.WaitGroup
+	DeferCleanup(func() {
+		run.stop()
+		threads.Wait()
+		run.cancels.Wait()
+	})
+	jobs := make([][]*job, callers)
 	for i := range callers {
-		go func() {
+		threads.Go(func() {
 			defer GinkgoRecover()
-			done <- run.submitJobs(i, rand.New(rand.NewPCG(seed, uint64(100+i))))
-		}()
+			jobs[i] = run.submitJobs(i, rand.New(rand.NewPCG(seed, uint64(100+i))))
+		})
 	}
-	faults := make(chan struct{}, faultSeries)
-	for i := range faultSeries {
-		go func() {
+	inject := func(i int, faults []fault) {
+		threads.Go(func() {
 			defer GinkgoRecover()
-			run.injectFaults(rand.New(rand.NewPCG(seed, uint64(200+i))))
-			faults <- struct{}{}
-		}()
+			run.injectFaults(rand.New(rand.NewPCG(seed, uint64(200+i))), faults)
+		})
 	}
-	run.checkUntilEnd()
-	var jobs []*job
-	for range callers {
-		jobs = append(jobs, <-done...)
+	if !onlyStopFaults(seed) {
+		for i := range faultSeries {
+			inject(i, faults)
+		}
 	}
-	for range faultSeries {
-		<-faults
+	for i := range stopSeries {
+		inject(faultSeries+i, stopFaults)
 	}
+	run.checkUntilEnd()
+	threads.Wait()
 	run.clearFaults()
-	run.checkJobs(jobs)
+	run.cancels.Wait()
+	run.checkJobs(slices.Concat(jobs...))
 }
 
 // checkUntilEnd checks the guarantees periodically until the end of the run.
@@ -141,6 +163,8 @@
 		e.ExpireLease()
 	}
 	Expect(r.site.Checker.AcknowledgedViolations()).To(BeEmpty(), r.faultLog())
+	unasked := r.unasked()
+	Expect(unasked).To(BeEmpty(), func() string { return r.trace(unasked) })
 }
 
 // checkJobs waits until the accepted jobs have ended and checks that the rejected
@@ -152,7 +176,7 @@
 		case outcomeAccepted:
 			accepted++
 			Eventually(func() string { return r.state(j) }, settleTime, checkPeriod).
-				Should(BeElementOf(j.finalStates()), func() string { return j.id + "\n" + r.faultLog() })
+				Should(BeElementOf(r.finalStates(j)), func() string { return j.id + "\n" + r.faultLog() })
 		case outcomeRejected:
 			rejected[j.id] = true
 		}
@@ -161,6 +185,6 @@
 	for _, taskRun := range r.site.Checker.Runs() {
 		Expect(rejected).NotTo(HaveKey(taskRun.Task[:len(sampleJob.id)]), "a rejected job has run")
 	}
-	GinkgoWriter.Printf("%d jobs, %d accepted, %d refused, %d runs\n%s\n", len(jobs), accepted, len(rejected), len(r.site.Checker.Runs()), r.faultLog())
+	GinkgoWriter.Printf("%d jobs, %d accepted, %d refused, %d cancelled, %d runs, %s\n%s\n", len(jobs), accepted, len(rejected), len(r.cancelled), len(r.site.Checker.Runs()), r.latest(), r.faultLog())
 	Expect(accepted).To(BeNumerically(">", 0))
 }
