--- a/integration/cancelday/callers_test.go
+++ b/integration/cancelday/callers_test.go
@@ -119,7 +119,6 @@
 type callers struct {
 	nodes  []*node
 	client *http.Client
-	record *recorder
 	seed   uint64
 	// early is the share of the jobs that are cancelled while they are being submitted.
 	early float64
@@ -335,7 +334,6 @@
 		}
 		j.mu.Unlock()
 		if done {
-			c.record.acknowledge(j.id, a.at)
 			c.busy.Add(1)
 			go func() {
 				defer c.busy.Done()
--- a/integration/cancelday/cancelday_test.go
+++ b/integration/cancelday/cancelday_test.go
@@ -1,6 +1,6 @@
 // Package cancelday_test plays days of the users' grown site with real processes: planned
 // stops of the instances in turn and an outage of the table, while half of the jobs are
-// cancelled. It reports the starts of cancelled jobs. It is run only on request.
+// cancelled. It fails on late starts and runs of cancelled jobs. It is run only on request.
 package cancelday_test
 
 import (
@@ -124,8 +124,13 @@
 	callers   *callers
 	quotas    *quotas
 
-	mu     sync.Mutex
-	events []string
+	mu           sync.Mutex
+	events       []string
+	disturbances []*disturbance
+	// starts are the starts until the report.
+	starts []*startRecord
+	// tableOver ends the disturbance by the faults of the table.
+	tableOver func()
 }
 
 func (r *run) logEvent(format string, args ...any) {
@@ -138,7 +143,11 @@
 	dir, err := os.MkdirTemp("", "hornbeam-cancelday-")
 	Expect(err).NotTo(HaveOccurred())
 	if os.Getenv("CANCELDAY_KEEP") == "" {
-		DeferCleanup(os.RemoveAll, dir)
+		DeferCleanup(func() {
+			if !CurrentSpecReport().Failed() {
+				Expect(os.RemoveAll(dir)).To(Succeed())
+			}
+		})
 	}
 	binary := filepath.Join(dir, "hornbeam-node")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/hornbeamworks/hornbeam/cmd/hornbeam-node").CombinedOutput()
@@ -149,6 +158,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.quotas.enforce(r.nodes, stop)
+	go r.recorder.senders.resolve(r.nodes, stop)
 	for _, e := range r.endpoints {
 		go e.beat(stop)
 	}
@@ -161,7 +171,7 @@
 	r.table = newTable(r.seed)
 	DeferCleanup(r.table.server.CloseClientConnections)
 	r.table.put("op", "config", configuration())
-	r.recorder = &recorder{cancelled: map[string]time.Time{}, rejects: map[string]int{}}
+	r.recorder = &recorder{rejects: map[string]int{}, senders: &senders{open: map[string]*connection{}}}
 	g := &gangs{present: map[string][]*activeRun{}}
 	for i := range int(setting("CANCELDAY_ENDPOINTS", 150)) {
 		e := newEndpoint(i, fmt.Sprintf("fd%d", i%3+1), r.table, r.recorder, g, r.seed)
@@ -184,9 +194,8 @@
 		n.start()
 		DeferCleanup(n.kill)
 	}
-	r.recorder.sender = func(address string) string { return senderOf(r.nodes, address) }
 	r.callers = &callers{
-		nodes: r.nodes, record: r.recorder, seed: r.seed, random: rand.New(rand.NewPCG(r.seed, 3)), counts: map[string]int{},
+		nodes: r.nodes, seed: r.seed, random: rand.New(rand.NewPCG(r.seed, 3)), counts: map[string]int{},
 		client: &http.Client{Timeout: callDeadline + 500*time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
 }
@@ -242,6 +251,7 @@
 		})
 	}
 	at(0, r.watch)
+	at(0, func() { r.watchStalls(began.Add(loadTime)) })
 	r.callers.early = r.early
 	r.callers.load(setting("CANCELDAY_RATE", 90), began.Add(loadTime))
 	r.logEvent("load ends")
@@ -265,7 +275,9 @@
 	for time.Now().Before(end) {
 		d := 200*time.Millisecond + time.Duration(random.Int64N(int64(maxPause)))
 		r.logEvent("pause %s for %v", n.name, d.Round(time.Millisecond))
+		over := r.disturb(n.name, "pause")
 		n.pause(d)
+		over()
 		r.logEvent("%s goes on", n.name)
 		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
 		choices := []int{latestIn(r.nodes, "state=deciding"), latestIn(r.nodes, "event=agent_follows"), random.IntN(largeNodes), random.IntN(len(r.nodes))}
@@ -279,7 +291,9 @@
 	e := r.endpoints[random.IntN(len(r.endpoints))]
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(random.Int64N(int64(6 * time.Second))))
+		over := r.disturb(e.id, "held link")
 		e.holdLink(200*time.Millisecond + time.Duration(random.Int64N(int64(maxHeld))))
+		over()
 	}
 }
 
@@ -303,9 +317,42 @@
 	}
 }
 
+const (
+	// stallPoll is how often the rig checks whether it stood still itself, minStall the
+	// shortest time that is logged.
+	stallPoll = 20 * time.Millisecond
+	minStall  = 300 * time.Millisecond
+)
+
+// watchStalls logs when the rig itself did not run, which delays all instances.
+func (r *run) watchStalls(end time.Time) {
+	for last := time.Now(); last.Before(end); {
+		time.Sleep(stallPoll)
+		now := time.Now()
+		if d := now.Sub(last) - stallPoll; d > minStall {
+			r.logEvent("the rig stood still for %v", d.Round(time.Millisecond))
+		}
+		last = now
+	}
+}
+
 func (r *run) setTable(f tableFaults) {
 	r.logEvent("table %+v", f)
 	r.table.setFaults(f)
+	r.mu.Lock()
+	over := r.tableOver
+	r.tableOver = nil
+	r.mu.Unlock()
+	if over != nil {
+		over()
+	}
+	if f == (tableFaults{}) {
+		return
+	}
+	over = r.disturb("", "table")
+	r.mu.Lock()
+	r.tableOver = over
+	r.mu.Unlock()
 }
 
 func (r *run) setLateOrders(share float64) {
@@ -338,9 +385,11 @@
 		go func() {
 			defer GinkgoRecover()
 			defer stopping.Done()
+			over := r.disturb(n.name, "stop")
 			took := n.planStop()
 			time.Sleep(300 * time.Millisecond)
 			n.start()
+			over()
 			r.logEvent("%s is back, it ended after %v", n.name, took.Round(time.Millisecond))
 		}()
 		time.Sleep(r.minGap + time.Duration(r.random.Int64N(int64(r.maxGap-r.minGap))))
@@ -383,6 +432,7 @@
 
 func (r *run) report(dir string) {
 	out := GinkgoWriter
+	r.starts = r.recorder.snapshot()
 	jobs := map[string]*job{}
 	accepted, cancelled := 0, 0
 	for _, j := range r.callers.jobs {
@@ -400,7 +450,7 @@
 	var cases []*startRecord
 	lapsed, waits := 0, histogram{}
 	firstStart := map[string]bool{}
-	for _, s := range r.recorder.starts {
+	for _, s := range r.starts {
 		if s.outcome == "lapsed" {
 			lapsed++
 		}
@@ -427,15 +477,27 @@
 			cases = append(cases, s)
 		}
 	}
-	fmt.Fprintf(out, "%d jobs, %d accepted, %d cancels acknowledged, %d starts, %d stops, %d lapsed\n", len(jobs), accepted, cancelled, len(r.recorder.starts), r.recorder.stops, lapsed)
+	fmt.Fprintf(out, "%d jobs, %d accepted, %d cancels acknowledged, %d starts, %d stops, %d lapsed\n", len(jobs), accepted, cancelled, len(r.starts), r.recorder.stops, lapsed)
 	fmt.Fprintf(out, "waits of accepted jobs for their first start: %v\n", &waits)
 	fmt.Fprintf(out, "starts after the acknowledgement of the cancel: %v\n   executed late by the endpoint: %v\n", &prompt, &late)
 	fmt.Fprintf(out, "ends of runs after it: %v\n", &runs)
+	var violations []string
 	for i, s := range cases {
-		r.showCase(jobs[s.job], s, i < maxShown)
+		verdicts := r.judge(jobs[s.job], s)
+		violated := false
+		for _, v := range verdicts {
+			if v.excuse == "" {
+				violated = true
+				violations = append(violations, fmt.Sprintf("%s/%d at %s: %s", s.task, s.number, s.endpoint, v.what))
+			}
+		}
+		r.showCase(jobs[s.job], s, verdicts, violated || i < maxShown)
 	}
-	wrong := r.showStates(jobs)
-	fmt.Fprintf(out, "== %s seed %d: %d cases of starts or runs, %d of states\n", r.name, r.seed, len(cases), wrong)
+	wrong, unfinished := r.showStates(jobs)
+	violations = append(violations, unfinished...)
+	r.writeStarts(dir, jobs)
+	fmt.Fprintf(out, "== %s seed %d: %d cases of starts or runs, %d of states, %d violations\n", r.name, r.seed, len(cases), wrong, len(violations))
+	Expect(violations).To(BeEmpty())
 }
 
 func (r *run) largeThrottled() int {
@@ -454,14 +516,14 @@
 	return n
 }
 
-func (r *run) showCase(j *job, s *startRecord, full bool) {
+func (r *run) showCase(j *job, s *startRecord, verdicts []verdict, full bool) {
 	out := GinkgoWriter
 	ended := "still runs"
 	if !s.ended.IsZero() {
 		ended = fmt.Sprintf("%s at %s (+%v)", s.outcome, stamp(s.ended), s.ended.Sub(j.acknowledged).Round(time.Millisecond))
 	}
-	fmt.Fprintf(out, "CASE %s/%d fence %d at %s: received %s, began %s, +%v after the acknowledgement at %s; late=%t sender=%s; %s\n", s.task, s.number, s.fence, s.endpoint,
-		stamp(s.received), stamp(s.began), s.began.Sub(j.acknowledged).Round(time.Millisecond), stamp(j.acknowledged), s.late, s.sender, ended)
+	fmt.Fprintf(out, "CASE %s/%d fence %d at %s: received %s, began %s, +%v after the acknowledgement at %s; late=%t sender=%s; %s; %v\n", s.task, s.number, s.fence, s.endpoint,
+		stamp(s.received), stamp(s.began), s.began.Sub(j.acknowledged).Round(time.Millisecond), stamp(j.acknowledged), s.late, s.sender.owner(), ended, verdicts)
 	if !full {
 		return
 	}
@@ -494,14 +556,16 @@
 
 // showStates shows the cancelled jobs whose last state is another one, unless all of their
 // tasks had been done before, and counts such states by the time since the acknowledgement.
-func (r *run) showStates(jobs map[string]*job) int {
+// It returns their number, and the jobs with a 2xx that are neither cancelled nor ended.
+func (r *run) showStates(jobs map[string]*job) (int, []string) {
 	lastEnd := map[string]time.Time{}
-	for _, s := range r.recorder.starts {
+	for _, s := range r.starts {
 		if s.outcome == "done" && s.ended.After(lastEnd[s.job]) {
 			lastEnd[s.job] = s.ended
 		}
 	}
 	found := 0
+	var unfinished []string
 	var waiting sync.WaitGroup
 	limit := make(chan struct{}, 16)
 	for _, j := range jobs {
@@ -534,13 +598,21 @@
 				early.add(s.sent.Sub(j.acknowledged))
 			}
 		}
+		final := j.states[len(j.states)-1]
+		open := last.status/100 == 2 && final.status == http.StatusOK && final.state != "cancelled" && final.state != "completed" && final.state != "failed"
+		if open {
+			unfinished = append(unfinished, fmt.Sprintf("%s: DELETE %v, and at the end %v", j.id, last, final))
+		}
+		if last.status/100 == 2 && final.status != http.StatusOK {
+			fmt.Fprintf(GinkgoWriter, "STATE %s: not decided, DELETE %v, and at the end %v\n", j.id, last, final)
+		}
 		if wrong {
-			if found++; found <= maxShown {
+			if found++; found <= maxShown || open {
 				fmt.Fprintf(GinkgoWriter, "STATE %s: acknowledged %s, last done %s\n", j.id, stamp(j.acknowledged), stamp(lastEnd[j.id]))
 				r.showJob(j)
 			}
 		}
 	}
 	fmt.Fprintf(GinkgoWriter, "answers %v\nother states after the acknowledgement: %v\n", kinds, &early)
-	return found
+	return found, unfinished
 }
--- a/integration/cancelday/endpoint_test.go
+++ b/integration/cancelday/endpoint_test.go
@@ -46,8 +46,10 @@
 	// an order that is executed late.
 	received, began, ended time.Time
 	late                   bool
-	outcome                string
-	sender                 string
+	// stopReceived is when the first order to stop the run arrived.
+	stopReceived time.Time
+	outcome      string
+	sender       *connection
 }
 
 // recorder collects the starts of all endpoints.
@@ -56,31 +58,32 @@
 	starts  []*startRecord
 	stops   int
 	rejects map[string]int
-	// cancelled contains when the cancel of a job was acknowledged.
-	cancelled map[string]time.Time
-	sender    func(address string) string
+	senders *senders
 }
 
-func (c *recorder) acknowledge(job string, at time.Time) {
+func (c *recorder) started(s *startRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, found := c.cancelled[job]; !found {
-		c.cancelled[job] = at
+	c.starts = append(c.starts, s)
+}
+
+// snapshot returns copies of the starts so far.
+func (c *recorder) snapshot() []*startRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var starts []*startRecord
+	for _, s := range c.starts {
+		found := *s
+		starts = append(starts, &found)
 	}
+	return starts
 }
 
-func (c *recorder) started(s *startRecord, from string) {
+func (c *recorder) stopArrived(s *startRecord, at time.Time) {
 	c.mu.Lock()
-	c.starts = append(c.starts, s)
-	at, cancelled := c.cancelled[s.job]
-	c.mu.Unlock()
-	if cancelled && time.Since(at) > 300*time.Millisecond {
-		go func() {
-			name := c.sender(from)
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			s.sender = name
-		}()
+	defer c.mu.Unlock()
+	if s.stopReceived.IsZero() {
+		s.stopReceived = at
 	}
 }
 
@@ -163,7 +166,9 @@
 	mux.HandleFunc("POST /v1/run-start", e.order((*endpoint).start))
 	mux.HandleFunc("POST /v1/run-stop", e.order((*endpoint).stop))
 	mux.HandleFunc("POST /v1/hold", e.order((*endpoint).hold))
-	e.server = httptest.NewServer(mux)
+	e.server = httptest.NewUnstartedServer(mux)
+	e.server.Config.ConnState = c.senders.note
+	e.server.Start()
 	e.address = e.server.Listener.Addr().String()
 	return e
 }
@@ -222,7 +227,8 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		record := &startRecord{received: time.Now(), endpoint: e.id, domain: e.domain, sender: r.RemoteAddr}
+		record := &startRecord{received: time.Now(), endpoint: e.id, domain: e.domain, sender: e.recorder.senders.of(r.RemoteAddr)}
+		e.noteStop(r, cmd, record.received)
 		e.waitForLink()
 		e.mu.Lock()
 		late, closed := e.random.Float64() < e.lateOrders, e.random.IntN(2) == 0
@@ -243,6 +249,19 @@
 	}
 }
 
+// noteStop records the arrival of an order to stop a run.
+func (e *endpoint) noteStop(r *http.Request, cmd command, at time.Time) {
+	if r.URL.Path != "/v1/run-stop" {
+		return
+	}
+	e.mu.Lock()
+	run := e.running[cmd.Task]
+	e.mu.Unlock()
+	if run != nil && run.number <= cmd.Run {
+		e.recorder.stopArrived(run.startRecord, at)
+	}
+}
+
 // linkDelay is the delay from which an order counts as executed late.
 const linkDelay = 100 * time.Millisecond
 
@@ -308,9 +327,7 @@
 	e.extend(cmd.Until)
 	s.task, s.number, s.fence, s.began = cmd.Task, cmd.Run, cmd.Fence, time.Now()
 	s.job, _, _ = strings.Cut(cmd.Task, ".")
-	from := s.sender
-	s.sender = ""
-	e.recorder.started(s, from)
+	e.recorder.started(s)
 	run := &activeRun{startRecord: s, e: e}
 	run.plan(cmd)
 	e.running[cmd.Task] = run
--- a/integration/cancelday/nodes_test.go
+++ b/integration/cancelday/nodes_test.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -242,43 +241,6 @@
 	return time.Duration(at.Nano())
 }
 
-// senderOf returns the name of the node that has a connection from the address.
-func senderOf(nodes []*node, address string) string {
-	_, portText, err := net.SplitHostPort(address)
-	if err != nil {
-		return "unknown"
-	}
-	port, err := strconv.Atoi(portText)
-	if err != nil {
-		return "unknown"
-	}
-	raw, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return "unknown"
-	}
-	suffix := fmt.Sprintf(":%04X", port)
-	inode := ""
-	for _, line := range strings.Split(string(raw), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) > 9 && strings.HasSuffix(fields[1], suffix) {
-			inode = fields[9]
-		}
-	}
-	for _, n := range nodes {
-		dir := fmt.Sprintf("/proc/%d/fd", n.pid())
-		entries, err := os.ReadDir(dir)
-		if err != nil {
-			continue
-		}
-		for _, entry := range entries {
-			if link, err := os.Readlink(filepath.Join(dir, entry.Name())); err == nil && link == "socket:["+inode+"]" {
-				return n.name
-			}
-		}
-	}
-	return "unknown"
-}
-
 // latestIn returns the index of the node whose log has the latest line with the text.
 func latestIn(nodes []*node, text string) int {
 	found, latest := -1, ""
