--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -168,13 +168,12 @@
 	for _, s := range batch {
 		accepted = append(accepted, s.job)
 	}
-	_, err := w.write(accepted, false)
+	err := w.write(accepted, false)
 	if len(batch) > 1 && (eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict)) {
 		// An attempt without a reply may have accepted all of them. It may have been
 		// one of the table's own, which a relayed table does not report.
 		for _, s := range batch {
-			_, err := w.write([]*jobs.Job{s.job}, true)
-			s.reply <- w.answer(s.job, err)
+			s.reply <- w.answer(s.job, w.write([]*jobs.Job{s.job}, true))
 		}
 		return
 	}
@@ -185,7 +184,7 @@
 
 // write creates the rows of the jobs on condition that none exists and none is barred.
 // ambiguous is set when an earlier write of them may have taken effect.
-func (w *submissionWriter) write(list []*jobs.Job, ambiguous bool) (storage.RowVersion, error) {
+func (w *submissionWriter) write(list []*jobs.Job, ambiguous bool) error {
 	var txn storage.Txn
 	for _, job := range list {
 		accepted := w.f.Parts.Key(holder.AcceptedTable, job.ID)
@@ -194,7 +193,8 @@
 			storage.Write{Key: w.f.Parts.Key(holder.JobsTable, job.ID), Value: storage.Encode(job)},
 			storage.Write{Key: accepted, Value: storage.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
 	}
-	return w.commit(txn, ambiguous)
+	_, err := w.commit(txn, ambiguous)
+	return err
 }
 
 // errAmbiguousConflict is a conflict after an attempt without a reply. The write may
