Count the starts of the holder that can't read a job's progress

It now counts the starts of the new holder's epoch, of which there must be none from its take-over on. It fails as before if the job is not held back.

--- a/holder/oddrows_test.go
+++ b/holder/oddrows_test.go
@@ -158,10 +158,9 @@
 		row, err := f.table.Get(context.Background(), "progress//"+string(id))
 		Expect(err).NotTo(HaveOccurred())
 		f.server.PutRaw("progress", string(id), []byte("{"))
-		started := f.startsOf(id)
 		f.succeed(2)
 		f.completes(f.submit(3), oddWait)
-		Consistently(func() int { return f.startsOf(id) }, "1s", "20ms").Should(Equal(started))
+		Consistently(func() int { return f.startsOf(id, 2) }, "1s", "20ms").Should(BeZero())
 		f.server.PutRaw("progress", string(id), row.Value)
 		f.succeed(3)
 		f.completes(id, 2*oddWait)
@@ -169,11 +168,11 @@
 	})
 })
 
-// startsOf returns the number of runs of the job's tasks.
-func (f *cellFixture) startsOf(id jobs.ID) int {
+// startsOf returns the number of runs of the job's tasks that a holder of the epoch has started.
+func (f *cellFixture) startsOf(id jobs.ID, epoch uint64) int {
 	n := 0
 	for _, r := range f.checker.Runs() {
-		if strings.HasPrefix(r.Task, string(id)) {
+		if strings.HasPrefix(r.Task, string(id)) && r.Epoch == epoch {
 			n++
 		}
 	}
