Limits: bound what the kernel receives for clients and the process has not read

What callers saw: an instance that is paused or slow while clients send is ended for its memory. Bytes that have been received and not read are part of it.

Cause: connections had the system's receive buffer, 128 KiB, and the queue of connections that are not accepted yet was as long as the system allows, 4,096, so that no limit on connections or descriptors counted either. The limits of the listeners were derived one by one, and together exceeded the instance.

Change: limit.Instance divides the memory once: an eighth for bodies, an eighth for messages of peers, three eighths for the connections of all listeners with what the kernel holds for them, and the rest for the process. Listeners have a receive buffer of 8 KiB (16 KiB in the kernel's account) and a queue of half of their connections. While a large body arrives for which the budget has room, its connection has 64 KiB, so that a legal body needs few round trips on a far link; the budget is charged for it.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamworks/hornbeam/gate"
 	"github.com/hornbeamworks/hornbeam/gate/httpapi"
 	"github.com/hornbeamworks/hornbeam/httpserve"
+	"github.com/hornbeamworks/hornbeam/httpserve/limit"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/membership"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -148,11 +149,11 @@
 	if err := p.process.ServeAdmin(p.settings.Gate.Admin); err != nil {
 		return err
 	}
-	if err := p.listenForCallers(s.Gate.Listen, p.limiter.Callers); err != nil {
+	if err := p.listenForCallers(limit.Callers, s.Gate.Listen); err != nil {
 		return err
 	}
 	if s.Gate.Operators != "" {
-		if err := p.listenForCallers(s.Gate.Operators, p.limiter.Operators); err != nil {
+		if err := p.listenForCallers(limit.Operators, s.Gate.Operators); err != nil {
 			return err
 		}
 	}
@@ -162,16 +163,16 @@
 	return p.listenForPeers()
 }
 
-// listenForCallers serves callers and operators at the address, with the connections that
-// limited admits.
-func (p *program) listenForCallers(address string, limited func(net.Listener) net.Listener) error {
+// listenForCallers serves callers and operators at the address, within the limits for
+// clients of the kind.
+func (p *program) listenForCallers(kind limit.Kind, address string) error {
 	limits := p.settings.limits()
-	callers, err := net.Listen("tcp", address)
+	callers, err := p.limiter.Listen(kind, address)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
 	server := httpserve.New(p.callersServer(limits), p.log)
-	callers = server.Listen(limited(callers), func(l net.Listener) net.Listener {
+	callers = server.Listen(callers, func(l net.Listener) net.Listener {
 		l = httpapi.Listen(l, limits)
 		if p.certificates != nil {
 			l = tls.NewListener(l, p.certificates.Config())
@@ -196,7 +197,7 @@
 }
 
 func (p *program) listenForPeers() error {
-	listener, err := net.Listen("tcp", p.settings.Peers.Listen)
+	listener, err := p.limiter.Listen(limit.Peers, p.settings.Peers.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
 	}
--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/hornbeamworks/hornbeam/front"
 	"github.com/hornbeamworks/hornbeam/holder"
 	"github.com/hornbeamworks/hornbeam/httpserve"
+	"github.com/hornbeamworks/hornbeam/httpserve/limit"
 	"github.com/hornbeamworks/hornbeam/instances"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -146,7 +146,7 @@
 	if err := n.agent.Register(n.peers); err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", n.settings.Listen.Peers)
+	peers, err := n.limiter.Listen(limit.Peers, n.settings.Listen.Peers)
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
 	}
@@ -164,7 +164,7 @@
 // serveReady serves the readiness page, by which the platform decides whether to
 // send new connections.
 func (n *node) serveReady() error {
-	listener, err := net.Listen("tcp", n.settings.Listen.Ready)
+	listener, err := n.limiter.Listen(limit.Pages, n.settings.Listen.Ready)
 	if err != nil {
 		return eris.Wrap(err, "listening for readiness checks")
 	}
@@ -181,7 +181,7 @@
 // serveFront serves callers. On drain it still serves for the linger time, closing
 // each connection after its answer, and then waits for the calls in flight.
 func (n *node) serveFront() error {
-	listener, err := net.Listen("tcp", n.settings.Listen.Front)
+	listener, err := n.limiter.Listen(limit.Callers, n.settings.Listen.Front)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
@@ -195,7 +195,7 @@
 		server.Drain(ctx, func(ctx context.Context) { duty.Sleep(ctx, n.settings.Drain.Linger) })
 	})
 	n.process.OnDrain(n.election.Resign)
-	n.process.ServeUntilStopped(server.Listen(n.limiter.Callers(listener), nil), server)
+	n.process.ServeUntilStopped(server.Listen(listener, nil), server)
 	return nil
 }
 
--- a/cmd/hornbeam-sched/serve.go
+++ b/cmd/hornbeam-sched/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/hornbeamworks/hornbeam/config"
 	"github.com/hornbeamworks/hornbeam/endpoint/httpendpoint"
 	"github.com/hornbeamworks/hornbeam/httpserve"
+	"github.com/hornbeamworks/hornbeam/httpserve/limit"
 	"github.com/hornbeamworks/hornbeam/logging"
 	"github.com/hornbeamworks/hornbeam/membership"
 	"github.com/hornbeamworks/hornbeam/model"
@@ -132,7 +132,7 @@
 	if err := p.process.ServeAdmin(p.settings.Sched.Admin); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", p.settings.Sched.Listen)
+	listener, err := p.limiter.Listen(limit.Peers, p.settings.Sched.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
 	}
--- a/httpserve/limit/bodies.go
+++ b/httpserve/limit/bodies.go
@@ -69,8 +69,10 @@
 	// whole is set when the body has been read to its end; it is no longer evicted.
 	whole bool
 	// evicted is set when it has been evicted and holds nothing any more.
-	evicted     bool
-	held        usage
+	evicted bool
+	held    usage
+	// buffer is the part of held that Buffer has charged.
+	buffer      int64
 	received    int64
 	began, last time.Time
 }
@@ -132,7 +134,7 @@
 	}
 	body.received += int64(n)
 	body.last = now
-	for body.held.bytes < body.received*g.settings.Factor {
+	for body.held.bytes-body.buffer < body.received*g.settings.Factor {
 		more, victims := g.take(now, body, usage{growStep * g.settings.Factor, 0})
 		evicted = append(evicted, victims...)
 		if more != None {
@@ -150,6 +152,21 @@
 	return g.take(now, body, usage{bytes, 0})
 }
 
+// Buffer charges a large body for a larger receive buffer of its connection, until the
+// body is released. It returns false if that would leave less than half of the budget to
+// the bodies themselves.
+func (g *Budget) Buffer(body *Body, bytes int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	general := g.settings.Bytes - g.settings.Bytes/reservedFraction
+	if body.evicted || body.reserved || body.buffer > 0 || g.general.bytes+bytes > general/2 {
+		return false
+	}
+	body.buffer = bytes
+	g.charge(body, usage{bytes, 0})
+	return true
+}
+
 // Whole records that the body has been read to its end. A small one holds nothing from
 // then on: what is kept of it is bounded by the number of connections. It returns false if
 // the body has been evicted.
@@ -271,7 +288,7 @@
 // release returns what the body holds. The caller holds mu.
 func (g *Budget) release(body *Body) {
 	g.add(body, usage{-body.held.bytes, -body.held.count})
-	body.held = usage{}
+	body.held, body.buffer = usage{}, 0
 	delete(g.open, body)
 }
 
--- a/httpserve/limit/limit_test.go
+++ b/httpserve/limit/limit_test.go
@@ -125,6 +125,54 @@
 	})
 })
 
+var _ = Describe("Budget of large bodies", func() {
+	// Guards against buffers of the kernel that no budget counts.
+	It("charges larger receive buffers up to half of its bytes", func() {
+		g := newBudget()
+		body, _, _ := g.Open(begin, "a", large, func() {})
+		other, _, _ := g.Open(begin, "a", large, func() {})
+		_, before := g.Used()
+		Expect(g.Buffer(body, 300<<10)).To(BeTrue())
+		Expect(g.Buffer(body, 1)).To(BeFalse())
+		Expect(g.Buffer(other, 300<<10)).To(BeFalse())
+		_, held := g.Used()
+		Expect(held - before).To(Equal(int64(300 << 10)))
+		cause, _ := g.Received(begin, body, 100<<10)
+		Expect(cause).To(Equal(limit.None))
+		_, held = g.Used()
+		Expect(held).To(BeNumerically(">=", 400<<10))
+		g.Close(body)
+		g.Close(other)
+		_, held = g.Used()
+		Expect(held).To(BeZero())
+	})
+})
+
+var _ = Describe("Instance", func() {
+	// The limits of all listeners together allowed more than the smallest instance has.
+	It("divides its memory so that a part is left to the process itself", func() {
+		kinds := []limit.Kind{limit.Callers, limit.Operators, limit.Peers, limit.Pages, limit.Pages}
+		for _, memory := range []int64{96 << 20, 160 << 20, 184 << 20, 536 << 20} {
+			for _, unread := range []int64{16 << 10, 64 << 10} {
+				i := limit.Instance{Memory: memory, Sockets: 8000, Unread: unread}
+				sum := i.BodyBytes() + i.MessageBytes()
+				for _, kind := range kinds {
+					connections := int64(i.Connections(kind))
+					sum += connections*(32<<10+unread) + int64(limit.Queue(int(connections)))*unread
+				}
+				Expect(sum).To(BeNumerically("<=", memory*11/16), "memory %d, unread %d", memory, unread)
+				Expect(i.Connections(limit.Callers)).To(BeNumerically(">=", 100))
+			}
+		}
+		descriptors := 0
+		i := limit.Instance{Memory: 1 << 40, Sockets: 500, Unread: 16 << 10}
+		for _, kind := range kinds {
+			descriptors += i.Connections(kind)
+		}
+		Expect(descriptors).To(BeNumerically("<=", 500*7/8))
+	})
+})
+
 var _ = Describe("Table", func() {
 	open := func(t *limit.Table, at time.Duration, address string) (*limit.Connection, limit.Cause, *limit.Connection) {
 		return t.Open(begin.Add(at), address, time.Second, func() {})
--- a/httpserve/limitedbody.go
+++ b/httpserve/limitedbody.go
@@ -39,10 +39,11 @@
 	writer     http.ResponseWriter
 	control    *http.ResponseController
 
-	// entry is nil until the first read. failure is the error of all further reads. Both
-	// are used by the handler only.
-	entry   *limit.Body
-	failure error
+	// entry is nil until the first read. received is the number of bytes read, and failure
+	// the error of all further reads. They are used by the handler only.
+	entry    *limit.Body
+	received int64
+	failure  error
 
 	// mu guards aborted: another request's goroutine aborts the read.
 	mu      sync.Mutex
@@ -68,6 +69,10 @@
 		if cause != limit.None {
 			return 0, b.refuse(cause)
 		}
+		b.received += int64(n)
+		if b.received > limit.SmallBytes {
+			b.connection.EnlargeBuffer(b.limiter.budget, b.entry)
+		}
 	}
 	switch {
 	case err == nil:
@@ -142,6 +147,7 @@
 		b.mu.Unlock()
 	}
 	if b.entry != nil {
+		b.connection.RestoreBuffer()
 		b.limiter.budget.Close(b.entry)
 	}
 }
--- a/httpserve/limitedconn.go
+++ b/httpserve/limitedconn.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hornbeamworks/hornbeam/httpserve/limit"
 )
 
@@ -14,7 +16,7 @@
 type limitedListener struct {
 	net.Listener
 	limiter *Limiter
-	kind    string
+	kind    limit.Kind
 	table   *limit.Table
 }
 
@@ -62,6 +64,9 @@
 type LimitedConn struct {
 	net.Conn
 	entry *limit.Connection
+	// enlarged is set while the receive buffer is large. It is used by the goroutine that
+	// reads a body.
+	enlarged bool
 }
 
 // Read implements net.Conn.
@@ -99,6 +104,36 @@
 // SyscallConn implements syscall.Conn.
 func (c *LimitedConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
 
+// EnlargeBuffer enlarges the receive buffer for a body of which more than SmallBytes have
+// been read, so that it arrives in fewer round trips, if the budget has room for what the
+// kernel may then hold.
+func (c *LimitedConn) EnlargeBuffer(budget *limit.Budget, body *limit.Body) {
+	if c == nil || c.enlarged || !budget.Buffer(body, largeUnreadBytes) {
+		return
+	}
+	c.enlarged = true
+	c.setReceiveBuffer(largeReceiveBuffer)
+}
+
+// RestoreBuffer restores the receive buffer after a body.
+func (c *LimitedConn) RestoreBuffer() {
+	if c == nil || !c.enlarged {
+		return
+	}
+	c.enlarged = false
+	c.setReceiveBuffer(receiveBuffer)
+}
+
+// setReceiveBuffer sets the receive buffer and the window that the peer may use. An error
+// means that the connection has ended, or that the size stays as it was.
+func (c *LimitedConn) setReceiveBuffer(bytes int) {
+	withDescriptor(c, func(fd int) {
+		if setReceiveBuffer(fd, bytes) == nil {
+			_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, 2*bytes)
+		}
+	})
+}
+
 // SetGrace sets the time without bytes after which the connection may make room for
 // another one.
 func (c *LimitedConn) SetGrace(grace time.Duration) { c.entry.SetGrace(grace) }
--- a/httpserve/limits.go
+++ b/httpserve/limits.go
@@ -44,26 +44,14 @@
 const (
 	// DefaultMemory is the memory in MiB of the smallest entry instance.
 	DefaultMemory = 184
-	// bodiesMemoryShare and peersMemoryShare are the divisors of the memory that bodies of
-	// callers, and messages of peers, may hold.
-	bodiesMemoryShare, peersMemoryShare = 8, 8
 	// bytesPerBody is the average size of an open body by which their number is derived
 	// from the budget of bytes.
 	bytesPerBody = 64 << 10
 	// bodyFactor is the number of bytes held for each byte of a body: the buffer grows by
 	// doubling, and the decoded request is kept beside it.
 	bodyFactor = 2
-	// connectionsMemoryShare is the divisor of the memory that callers' connections may
-	// use, connectionBytes what one needs: a header of 16 KiB, two buffers of 4 KiB, and
-	// the stack of its goroutine.
-	connectionsMemoryShare, connectionBytes = 4, 32 << 10
 	// fileDescriptors is the number of descriptors that are left for files.
 	fileDescriptors = 200
-	// callersShare to pagesShare are the divisors of the other descriptors for the
-	// connections of callers, of operators, of peers and of each of up to two ports for
-	// pages. An eighth is left for the connections that the process itself opens, a quarter
-	// in a process without a listener for operators.
-	callersShare, operatorsShare, peersShare, pagesShare = 2, 8, 8, 16
 	// defaultMinRate and defaultStallTime let the largest legal body, 262,144 bytes, take
 	// 4 min 31 s; the stall time is the time for which a client may be idle.
 	defaultMinRate   = 1 << 10
@@ -117,8 +105,7 @@
 	settings LimitSettings
 	log      *logging.Logger
 	budget   *limit.Budget
-	memory   int64
-	sockets  int
+	instance limit.Instance
 	// lines limits the log lines, refused counts the refusals.
 	lines   *rate.Limiter
 	refused atomic.Int64
@@ -127,17 +114,18 @@
 // NewLimiter returns the limits of a process with the memory in MiB.
 func NewLimiter(s LimitSettings, memory int64, log *logging.Logger) *Limiter {
 	l := &Limiter{
-		settings: s, log: log, memory: memory << 20, sockets: socketDescriptors(),
-		lines: rate.NewLimiter(linesPerSecond, lineBurst),
+		settings: s, log: log,
+		instance: limit.Instance{Memory: memory << 20, Sockets: socketDescriptors(), Unread: unreadBytes()},
+		lines:    rate.NewLimiter(linesPerSecond, lineBurst),
 	}
 	if l.settings.Bytes == 0 {
-		l.settings.Bytes = l.memory / bodiesMemoryShare
+		l.settings.Bytes = l.instance.BodyBytes()
 	}
 	if l.settings.Bodies == 0 {
 		l.settings.Bodies = int(l.settings.Bytes / bytesPerBody)
 	}
 	if l.settings.Connections == 0 {
-		l.settings.Connections = min(l.sockets/callersShare, int(l.memory/connectionsMemoryShare/connectionBytes))
+		l.settings.Connections = l.instance.Connections(limit.Callers)
 	}
 	l.budget = l.newBudget(l.settings.Bytes, l.settings.Bodies, bodyFactor)
 	return l
@@ -152,7 +140,7 @@
 
 // PeerBudget returns a budget for the messages of peers, which callers can't use up.
 func (l *Limiter) PeerBudget() *limit.Budget {
-	bytes := l.memory / peersMemoryShare
+	bytes := l.instance.MessageBytes()
 	return l.newBudget(bytes, int(bytes/bytesPerBody), 1)
 }
 
@@ -167,41 +155,33 @@
 }
 
 // Record counts a refusal and logs it, with the number of all refusals so far.
-func (l *Limiter) Record(kind string, cause limit.Cause, address string) {
-	refusals.Add(kind+"_"+string(cause), 1)
+func (l *Limiter) Record(kind limit.Kind, cause limit.Cause, address string) {
+	refusals.Add(string(kind)+"_"+string(cause), 1)
 	refused := l.refused.Add(1)
 	if !l.lines.Allow() {
 		return
 	}
 	bodies, bytes := l.budget.Used()
-	l.log.Warn("open_request_refused", slog.String("kind", kind), slog.String("cause", string(cause)),
+	l.log.Warn("open_request_refused", slog.String("kind", string(kind)), slog.String("cause", string(cause)),
 		slog.String("address", address), slog.Int("bodies", bodies), slog.Int64("bytes", bytes), slog.Int64("refused", refused))
 }
 
-// Callers returns a listener for callers, Operators one for operators, Peers one for peers
-// and Pages one for pages. A connection beyond the limits is closed, or another one that is
-// idle.
-func (l *Limiter) Callers(socket net.Listener) net.Listener {
-	return l.listen(socket, "connection", l.settings.Connections)
+// Limit returns a listener for clients of the kind with a bounded number of connections. A
+// connection beyond it is closed, or another one that is idle.
+func (l *Limiter) Limit(kind limit.Kind, socket net.Listener) net.Listener {
+	return &limitedListener{Listener: socket, limiter: l, kind: kind, table: limit.NewTable(l.connections(kind), l.settings.AddressShare)}
 }
 
-// Operators is described at Callers.
-func (l *Limiter) Operators(socket net.Listener) net.Listener {
-	return l.listen(socket, "operator", max(1, min(l.sockets/operatorsShare, l.settings.Connections)))
-}
-
-// Peers is described at Callers.
-func (l *Limiter) Peers(socket net.Listener) net.Listener {
-	return l.listen(socket, "peer", max(1, l.sockets/peersShare))
-}
-
-// Pages is described at Callers.
-func (l *Limiter) Pages(socket net.Listener) net.Listener {
-	return l.listen(socket, "page", max(1, min(l.sockets/pagesShare, l.settings.Connections)))
-}
-
-func (l *Limiter) listen(socket net.Listener, kind string, connections int) net.Listener {
-	return &limitedListener{Listener: socket, limiter: l, kind: kind, table: limit.NewTable(connections, l.settings.AddressShare)}
+// connections returns the number of connections that a listener of the kind may have.
+func (l *Limiter) connections(kind limit.Kind) int {
+	switch kind {
+	case limit.Callers:
+		return l.settings.Connections
+	case limit.Peers:
+		return l.instance.Connections(kind)
+	default:
+		return max(1, min(l.instance.Connections(kind), l.settings.Connections))
+	}
 }
 
 // LimitPages applies the limits on bodies to a server of pages.
--- a/httpserve/limits_test.go
+++ b/httpserve/limits_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hornbeamworks/hornbeam/httpserve"
+	"github.com/hornbeamworks/hornbeam/httpserve/limit"
 	"github.com/hornbeamworks/hornbeam/logging"
 )
 
@@ -42,7 +43,7 @@
 			}
 			fmt.Fprint(w, n)
 		}))}, log)
-		tracked := server.Listen(limiter.Callers(listener), nil)
+		tracked := server.Listen(limiter.Limit(limit.Callers, listener), nil)
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(tracked) }()
 		DeferCleanup(func() {
--- a/peerrpc/limited.go
+++ b/peerrpc/limited.go
@@ -31,11 +31,14 @@
 	limiter *httpserve.Limiter
 	budget  *limit.Budget
 	address string
+	// connection is Conn if its listener has limits, and otherwise nil.
+	connection *httpserve.LimitedConn
 	// length holds the bytes of a length that has been read in part, missing is what has
-	// not been read of the current message, and body its entry; nil between messages.
-	length  []byte
-	missing uint64
-	body    *limit.Body
+	// not been read of the current message, received what has been, and body its entry; nil
+	// between messages.
+	length            []byte
+	missing, received uint64
+	body              *limit.Body
 	// refused is set when a message has been refused: net/rpc reads on after an error in
 	// the arguments of a call.
 	refused bool
@@ -76,7 +79,7 @@
 			if !whole {
 				continue
 			}
-			l.length, l.missing = l.length[:0], size
+			l.length, l.missing, l.received = l.length[:0], size, 0
 			if cause := l.begin(size); cause != limit.None {
 				return cause
 			}
@@ -90,6 +93,10 @@
 		if cause != limit.None {
 			return cause
 		}
+		l.received += n
+		if l.received > limit.SmallBytes {
+			l.connection.EnlargeBuffer(l.budget, l.body)
+		}
 		if l.missing == 0 {
 			l.end()
 		}
@@ -110,11 +117,12 @@
 // end releases the message that has been read.
 func (l *limitedReader) end() {
 	if l.body != nil {
+		l.connection.RestoreBuffer()
 		l.budget.Close(l.body)
 		l.body = nil
 	}
-	if limited, ok := l.Conn.(*httpserve.LimitedConn); ok {
-		limited.SetGrace(peerGrace)
+	if l.connection != nil {
+		l.connection.SetGrace(peerGrace)
 	}
 }
 
--- a/peerrpc/server.go
+++ b/peerrpc/server.go
@@ -49,9 +49,6 @@
 // listener and all connections. spawn starts a function that serves one connection
 // until it is closed; it is the method Serve of a duty.Group.
 func (s *Server) Serve(ctx context.Context, listener net.Listener, spawn func(func(context.Context) error)) error {
-	if s.limiter != nil {
-		listener = s.limiter.Peers(listener)
-	}
 	stop := context.AfterFunc(ctx, func() { s.closeAll(listener) })
 	defer stop()
 	for {
@@ -93,6 +90,7 @@
 		return
 	}
 	limited := &limitedReader{Conn: connection, limiter: s.limiter, budget: s.budget, address: httpserve.HostOf(connection.RemoteAddr().String())}
+	limited.connection, _ = connection.(*httpserve.LimitedConn)
 	s.registry.ServeConn(limited)
 	limited.end()
 }
--- a/process/http.go
+++ b/process/http.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hornbeamworks/hornbeam/httpserve"
+	"github.com/hornbeamworks/hornbeam/httpserve/limit"
 )
 
 const (
@@ -40,7 +41,7 @@
 // ServeAdmin serves the admin pages at the address. They are served until the
 // process stops, so that /readyz returns 503 during the drain.
 func (p *Process) ServeAdmin(address string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := p.listenForPages(address)
 	if err != nil {
 		return eris.Wrap(err, "listening for the admin pages")
 	}
@@ -48,6 +49,13 @@
 	return nil
 }
 
+func (p *Process) listenForPages(address string) (net.Listener, error) {
+	if p.limiter == nil {
+		return net.Listen("tcp", address)
+	}
+	return p.limiter.Listen(limit.Pages, address)
+}
+
 // ServeUntilStopped serves on the listener until the server is drained or the
 // process stops, and then closes it. It registers no drainer: the caller does that
 // when the server has to drain.
@@ -73,14 +81,13 @@
 }
 
 // ServePages serves pages for machines, such as the readiness page, until the process
-// stops.
+// stops. The listener is one of the limiter, if there is one.
 func (p *Process) ServePages(listener net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
 	if p.limiter != nil {
 		p.limiter.LimitPages(server)
-		listener = p.limiter.Pages(listener)
 	}
 	p.ServeUntilStopped(listener, pages{server})
 }
