Platform: charge a job before it is decoded

What callers saw: many whole bodies of legal size end an instance, even small ones.

Cause: a step takes some 480 bytes once decoded, 40 times the bytes of its text. A body of 262,144 bytes decoded to 40 MB before its steps were charged. Small bodies held nothing once they had been read, so that each waiting submission of 16 KB kept some 600 KB, bounded by the number of connections only.

What others decode to is charged to the request first, from 16 KiB on, whatever the size of the body, and not to the part that is reserved for small bodies.

--- a/holder/recorderbatch.go
+++ b/holder/recorderbatch.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// maxRowBytes is the largest value of a row: the table accepts 64 KB in base64.
-	maxRowBytes = 48 << 10
+	maxRowBytes = storage.MaxValueBytes
 	// maxRecordBytes bounds the size of a write as it is sent; the table accepts 1 MB.
 	maxRecordBytes = 900_000
 	// entryOverhead bounds what an entry takes in addition to its key and value.
--- a/httpserve/limit/bodies.go
+++ b/httpserve/limit/bodies.go
@@ -145,10 +145,14 @@
 	return None, evicted
 }
 
-// Hold charges the body's request for further bytes, which it holds until Close.
+// Hold charges the body's request for further bytes, which it holds until Close. A small
+// body that has been read to its end does not use the reserved part for them.
 func (g *Budget) Hold(now time.Time, body *Body, bytes int64) (cause Cause, evicted []*Body) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if body.held == (usage{}) {
+		body.reserved = false
+	}
 	return g.take(now, body, usage{bytes, 0})
 }
 
--- a/httpserve/limit/limit_test.go
+++ b/httpserve/limit/limit_test.go
@@ -146,6 +146,23 @@
 		_, held = g.Used()
 		Expect(held).To(BeZero())
 	})
+
+	// Whole bodies of 16 KB that decode to some 600 KB each held no budget.
+	It("charges what a small body decodes to, and leaves the reserved part to other small bodies", func() {
+		g := newBudget()
+		var refused limit.Cause
+		for refused == limit.None {
+			body, cause, _ := g.Open(begin, "a", 1000, func() {})
+			Expect(cause).To(Equal(limit.None))
+			g.Received(begin, body, 1000)
+			Expect(g.Whole(body)).To(BeTrue())
+			refused, _ = g.Hold(begin, body, 100<<10)
+		}
+		_, held := g.Used()
+		Expect(held).To(BeNumerically("<=", 1<<20))
+		_, cause, _ := g.Open(begin, "b", 16<<10, func() {})
+		Expect(cause).To(Equal(limit.None))
+	})
 })
 
 var _ = Describe("Instance", func() {
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/hornbeamworks/hornbeam/storage"
+)
 
 const (
 	// maxID is the largest length of a job's ID, maxSpec of its specification, in bytes.
@@ -8,6 +12,10 @@
 	maxSpec = 4000
 	// maxTasks bounds the tasks of a job, those of all occurrences together.
 	maxTasks = 100000
+	// minStepBytes is the size of the shortest step in a job's row.
+	minStepBytes = len(`{"n":1,"size":[0,0,0,0,0]},`)
+	// MaxSteps bounds the steps of a job: more do not fit into its row.
+	MaxSteps = storage.MaxValueBytes / minStepBytes
 )
 
 // Problem returns the reason why no job can have the ID; empty if it is valid.
--- a/storage/platform.go
+++ b/storage/platform.go
@@ -24,6 +24,9 @@
 	ErrUnavailable = eris.New("platform service unavailable")
 )
 
+// MaxValueBytes is the largest value of a row that every table accepts: 64 KB in base64.
+const MaxValueBytes = 48 << 10
+
 // RowVersion is the version of a row, which increases with every write. 0 means
 // that the row doesn't exist.
 type RowVersion uint64
