Front: reject a job whose row the table does not accept

What callers saw: 503 for a job of legal size that can never be stored, and 503 for the jobs of other callers that were in the same write; for a moment the part of the table was taken as unavailable.

Cause: the table refuses a write with a value of more than 64 KB in base64. The front wrote up to 25 jobs at a time without looking at their sizes, and reported the refusal for all of them.

Change: the job is encoded when it is submitted, once as before, and rejected with 413 if its row is too large; a cancel, which adds to the row, still fits. The size of a write follows from the rows.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -296,6 +296,20 @@
 		Expect(f.Submit(context.Background(), front.Caller{Key: "key", Host: "h", Path: "/q/a"}, job).Code).To(Equal(result.OK))
 	})
 
+	// The table refused the write, and with it the jobs of other callers in the same write.
+	It("is refused without a write if its row is larger than the table accepts", func() {
+		t := &scriptedTable{}
+		f := startFront(t)
+		steps := make([]jobs.Step, jobs.MaxSteps)
+		for i := range steps {
+			steps[i].Count = 1
+		}
+		caller := front.Caller{Key: "key", Host: "h", Path: "/q/a"}
+		Expect(f.Submit(context.Background(), caller, &jobs.Job{Steps: steps}).Code).To(Equal(result.TooLarge))
+		Expect(t.writeCount()).To(BeZero())
+		Expect(f.Submit(context.Background(), caller, &jobs.Job{Steps: steps[:jobs.MaxSteps*9/10]}).Code).To(Equal(result.OK))
+	})
+
 	It("is reported as not accepted only when no write of it can have taken effect", func() {
 		refused := &scriptedTable{script: []writeOutcome{{err: storage.ErrRefused}}}
 		answer := submit(startFront(refused), "a", "key")
--- a/front/submissionwriter.go
+++ b/front/submissionwriter.go
@@ -26,6 +26,8 @@
 	maxBatchJobs = 25
 	// maxBatchBytes bounds the estimated size of one write. The table accepts 1 MB.
 	maxBatchBytes = 500 << 10
+	// rowOverhead estimates what a job adds to a write beside its row.
+	rowOverhead = 200
 	// writeTimeout bounds one attempt of a write. A slow table takes a second.
 	writeTimeout = 1200 * time.Millisecond
 	// writeAttempts bounds the attempts of a write that gets no reply. The retry
@@ -107,7 +109,7 @@
 func (w *submissionWriter) batchSize(batch []*submission) int {
 	size := 0
 	for i, s := range batch {
-		size += len(s.job.Spec) + 200*len(s.job.Steps)
+		size += len(s.row) + rowOverhead
 		if i > 0 && (i >= maxBatchJobs || size > maxBatchBytes) {
 			return i
 		}
@@ -164,16 +166,12 @@
 // accept writes the jobs in one transaction. If the row of one of them exists, each
 // job is written in a transaction of its own.
 func (w *submissionWriter) accept(batch []*submission) {
-	accepted := make([]*jobs.Job, 0, len(batch))
-	for _, s := range batch {
-		accepted = append(accepted, s.job)
-	}
-	err := w.write(accepted, false)
+	err := w.write(batch, false)
 	if len(batch) > 1 && (eris.Is(err, storage.ErrConflict) || eris.Is(err, errAmbiguousConflict)) {
 		// An attempt without a reply may have accepted all of them. It may have been
 		// one of the table's own, which a relayed table does not report.
 		for _, s := range batch {
-			s.reply <- w.answer(s.job, w.write([]*jobs.Job{s.job}, true))
+			s.reply <- w.answer(s.job, w.write([]*submission{s}, true))
 		}
 		return
 	}
@@ -184,13 +182,14 @@
 
 // write creates the rows of the jobs on condition that none exists and none is barred.
 // ambiguous is set when an earlier write of them may have taken effect.
-func (w *submissionWriter) write(list []*jobs.Job, ambiguous bool) error {
+func (w *submissionWriter) write(list []*submission, ambiguous bool) error {
 	var txn storage.Txn
-	for _, job := range list {
+	for _, s := range list {
+		job := s.job
 		accepted := w.f.Parts.Key(holder.AcceptedTable, job.ID)
 		txn.Checks = append(txn.Checks, storage.Check{Key: accepted}, storage.Check{Key: w.f.Parts.Key(holder.AcceptedTable, barOf(job))})
 		txn.Writes = append(txn.Writes,
-			storage.Write{Key: w.f.Parts.Key(holder.JobsTable, job.ID), Value: storage.Encode(job)},
+			storage.Write{Key: w.f.Parts.Key(holder.JobsTable, job.ID), Value: s.row},
 			storage.Write{Key: accepted, Value: storage.Encode(jobs.Status{State: jobs.Queued, Team: string(job.Team), Queue: job.Queue})})
 	}
 	_, err := w.commit(txn, ambiguous)
--- a/front/submit.go
+++ b/front/submit.go
@@ -8,11 +8,18 @@
 	"github.com/hornbeamworks/hornbeam/admission"
 	"github.com/hornbeamworks/hornbeam/jobs"
 	"github.com/hornbeamworks/hornbeam/result"
+	"github.com/hornbeamworks/hornbeam/storage"
 )
 
+// maxJobRow is the largest row of a new job; a cancel adds to it. The table refuses a write
+// with a larger value, and with it all jobs of the same write.
+const maxJobRow = storage.MaxValueBytes - 100
+
 // submission is a message to a submission writer: a job to write, or one to cancel.
 type submission struct {
-	job    *jobs.Job
+	job *jobs.Job
+	// row is the encoded job; nil for a cancel.
+	row    []byte
 	cancel bool
 	// deadline is when the caller of a cancel stops waiting.
 	deadline time.Time
@@ -38,7 +45,11 @@
 	if answer := f.decideLoad(call, job); answer != nil {
 		return f.recordAnswer("submit", call, answer, began)
 	}
-	answer := f.submitAndWait(call, &submission{job: job, reply: make(chan Answer, 1)})
+	row := storage.Encode(job)
+	if len(row) > maxJobRow {
+		return f.recordAnswer("submit", call, f.refuse(result.TooLarge, "the job is too large to be stored"), began)
+	}
+	answer := f.submitAndWait(call, &submission{job: job, row: row, reply: make(chan Answer, 1)})
 	switch answer.Code {
 	case result.OK:
 		f.load.add(job)
