Peers: charge a message with its announced size

What callers saw: hornbeam-sched is ended for its memory once clients reach the listener for peers.

Cause: the decoder of package gob allocates the announced size of a message, up to 10 MB, before it arrives; the budget was charged as it arrived. hornbeam-node was kept small by its memory limit of the runtime, hornbeam-sched has none.

Change: the budget for peers is charged with the whole size when the length has been read.

--- a/httpserve/limit/bodies.go
+++ b/httpserve/limit/bodies.go
@@ -33,6 +33,9 @@
 	// Factor is the number of bytes held for each byte of a body, by its buffer and by what
 	// is decoded from it.
 	Factor int64
+	// Reserve is set if a buffer of the declared size is allocated before the body arrives,
+	// so that all of it is charged when the body is opened.
+	Reserve bool
 	// MinRate is the minimum average rate in bytes per second after the first StallTime.
 	MinRate int64
 	// StallTime is the longest time without a byte, BodyTime that of a whole body.
@@ -107,7 +110,7 @@
 			evicted = append(evicted, more...)
 		}
 	} else {
-		cause, evicted = g.take(now, body, usage{min(growStep, g.reservation(declared)) * g.settings.Factor, 1})
+		cause, evicted = g.take(now, body, usage{g.reservation(declared) * g.settings.Factor, 1})
 	}
 	if cause != None {
 		return nil, cause, evicted
@@ -116,12 +119,16 @@
 	return body, None, evicted
 }
 
-// reservation returns the declared size, that of a step if it is unknown.
+// reservation returns the bytes of a large body that are charged before it arrives. declared
+// is negative if its size is unknown.
 func (g *Budget) reservation(declared int64) int64 {
-	if declared < 0 {
+	switch {
+	case declared < 0:
 		return growStep
+	case g.settings.Reserve:
+		return declared
 	}
-	return declared
+	return min(growStep, declared)
 }
 
 // Received records that n bytes of the body have been read. A body that may not go on gets
--- a/httpserve/limits.go
+++ b/httpserve/limits.go
@@ -127,21 +127,24 @@
 	if l.settings.Connections == 0 {
 		l.settings.Connections = l.instance.Connections(limit.Callers)
 	}
-	l.budget = l.newBudget(l.settings.Bytes, l.settings.Bodies, bodyFactor)
+	l.budget = limit.NewBudget(l.bodySettings(l.settings.Bytes, l.settings.Bodies, bodyFactor))
 	return l
 }
 
-func (l *Limiter) newBudget(bytes int64, count int, factor int64) *limit.Budget {
-	return limit.NewBudget(limit.BodySettings{
+func (l *Limiter) bodySettings(bytes int64, count int, factor int64) limit.BodySettings {
+	return limit.BodySettings{
 		Bytes: bytes, Count: count, AddressShare: l.settings.AddressShare, Factor: factor,
 		MinRate: l.settings.MinRate, StallTime: l.settings.StallTime, BodyTime: l.settings.BodyTime,
-	})
+	}
 }
 
-// PeerBudget returns a budget for the messages of peers, which callers can't use up.
+// PeerBudget returns a budget for the messages of peers, which callers can't use up. The
+// decoder of package gob allocates the announced size of a message before it arrives.
 func (l *Limiter) PeerBudget() *limit.Budget {
 	bytes := l.instance.MessageBytes()
-	return l.newBudget(bytes, int(bytes/bytesPerBody), 1)
+	settings := l.bodySettings(bytes, int(bytes/bytesPerBody), 1)
+	settings.Reserve = true
+	return limit.NewBudget(settings)
 }
 
 // socketDescriptors returns the number of descriptors for sockets.
