Connections: end a write that the client does not receive

What callers saw: clients that send requests and read no answers keep the listeners of an instance occupied; on the readiness port, the platform sends it nothing more.

Cause: a write to a client that does not read waits without a limit, and a connection with a request in service never makes room for another one.

While a write waits for a second or longer, the connection counts as idle when another one needs room.

Both tests fail on: the write has not ended after 20 s; the connection is not evicted.

--- a/httpserve/limit/connections.go
+++ b/httpserve/limit/connections.go
@@ -26,6 +26,8 @@
 	last  time.Time
 	busy  bool
 	grace time.Duration
+	// writing is set during a write, which waits while the client receives nothing.
+	writing bool
 }
 
 // NewTable returns a table without connections. share is the fraction of the connections
@@ -66,13 +68,14 @@
 	return None
 }
 
-// victim returns the connection without a request in service that has been idle for
-// longest, one of the address with the most connections if there is one; nil if all are in
-// use. It is one of the same address if that has used up its share.
+// victim returns the connection without a request in service, or whose client receives no
+// answer, that has been idle for longest, one of the address with the most connections if
+// there is one; nil if all are in use. It is one of the same address if that has used up its
+// share.
 func (t *Table) victim(now time.Time, address string, cause Cause) *Connection {
 	var found *Connection
 	for c := range t.open {
-		if c.busy || now.Sub(c.last) < c.grace || cause == AddressConnections && c.address != address {
+		if c.busy && !c.writing || now.Sub(c.last) < c.grace || cause == AddressConnections && c.address != address {
 			continue
 		}
 		if found == nil || t.addresses[c.address] > t.addresses[found.address] ||
@@ -110,6 +113,13 @@
 	c.last = now
 }
 
+// SetWriting records whether bytes are being written.
+func (c *Connection) SetWriting(now time.Time, writing bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.writing, c.last = writing, now
+}
+
 // SetBusy records whether a request that has been read is being served. Its answer is on
 // the way for a moment after that, so that the time without bytes begins anew.
 func (c *Connection) SetBusy(now time.Time, busy bool) {
--- a/httpserve/limit/limit_test.go
+++ b/httpserve/limit/limit_test.go
@@ -251,4 +251,16 @@
 		}
 		Expect(t.Used()).To(Equal(2))
 	})
+
+	// Clients that read no answer kept the ports for pages from the platform's checks.
+	It("evicts a connection whose client does not receive its answer", func() {
+		t := limit.NewTable(1, 1)
+		stuck, _, _ := open(t, 0, "a")
+		stuck.SetBusy(begin, true)
+		stuck.SetWriting(begin, true)
+		_, cause, _ := open(t, 500*time.Millisecond, "b")
+		Expect(cause).To(Equal(limit.Connections))
+		_, _, evicted := open(t, 2*time.Second, "b")
+		Expect(evicted).To(Equal(stuck))
+	})
 })
--- a/httpserve/listen_test.go
+++ b/httpserve/listen_test.go
@@ -71,4 +71,18 @@
 		Expect(fill(client)).To(BeNumerically(">=", 2*before))
 		connection.RestoreBuffer()
 	})
+
+	// A client that read no answer kept its connection in use for any time.
+	It("ends a write that its client does not receive", func() {
+		connect()
+		accepted, err := listener.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(accepted.Close)
+		written := make(chan error, 1)
+		go func() {
+			_, err := accepted.Write(make([]byte, 16<<20))
+			written <- err
+		}()
+		Eventually(written).WithTimeout(waitTimeout).Should(Receive(HaveOccurred()))
+	})
 })
