Connections: one without a request makes room before one that serves some

What callers saw: with a full table of connections, clients with many addresses displace the idle connections of a balancer, while connections on which nothing was ever sent stay. Each address of an IPv6 subnet counted as a client of its own.

Cause: the victim was the idle connection of the address with the most connections, whatever it was used for.

Change: connections on which no request has been served go first. IPv6 addresses count by their /64 subnet, mapped ones as IPv4.

--- a/httpserve/limit/connections.go
+++ b/httpserve/limit/connections.go
@@ -26,6 +26,8 @@
 	last  time.Time
 	busy  bool
 	grace time.Duration
+	// served is set once a request has been served.
+	served bool
 	// writing is set during a write, which waits while the client receives nothing.
 	writing bool
 }
@@ -68,24 +70,36 @@
 	return None
 }
 
-// victim returns the connection without a request in service, or whose client receives no
-// answer, that has been idle for longest, one of the address with the most connections if
-// there is one; nil if all are in use. It is one of the same address if that has used up its
-// share.
+// victim returns the connection that makes room for another one, or nil if all are in use.
+// Those without a request in service, and those whose client receives no answer, do so once
+// they have been idle for their grace. If the address has used up its share, it is one of the
+// same address.
 func (t *Table) victim(now time.Time, address string, cause Cause) *Connection {
 	var found *Connection
 	for c := range t.open {
 		if c.busy && !c.writing || now.Sub(c.last) < c.grace || cause == AddressConnections && c.address != address {
 			continue
 		}
-		if found == nil || t.addresses[c.address] > t.addresses[found.address] ||
-			t.addresses[c.address] == t.addresses[found.address] && c.last.Before(found.last) {
+		if found == nil || t.goesBefore(c, found) {
 			found = c
 		}
 	}
 	return found
 }
 
+// goesBefore reports whether c makes room before other: one on which no request has been
+// served before one that is in use from time to time, then one of the address with more
+// connections, then the one that has been idle for longer.
+func (t *Table) goesBefore(c, other *Connection) bool {
+	if c.served != other.served {
+		return other.served
+	}
+	if mine, others := t.addresses[c.address], t.addresses[other.address]; mine != others {
+		return mine > others
+	}
+	return c.last.Before(other.last)
+}
+
 // Used returns the number of open connections.
 func (t *Table) Used() int {
 	t.mu.Lock()
@@ -126,6 +140,7 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.busy, c.last = busy, now
+	c.served = c.served || !busy
 }
 
 // SetGrace sets the time without bytes after which the connection may be evicted.
--- a/httpserve/limit/limit_test.go
+++ b/httpserve/limit/limit_test.go
@@ -263,4 +263,18 @@
 		_, _, evicted := open(t, 2*time.Second, "b")
 		Expect(evicted).To(Equal(stuck))
 	})
+
+	// Clients with many addresses displaced the idle connections of a balancer.
+	It("evicts a connection without a request before one that has served some", func() {
+		t := limit.NewTable(3, 1)
+		balancer, _, _ := open(t, 0, "b")
+		second, _, _ := open(t, 0, "b")
+		for _, c := range []*limit.Connection{balancer, second} {
+			c.SetBusy(begin, true)
+			c.SetBusy(begin, false)
+		}
+		silent, _, _ := open(t, time.Second, "a")
+		_, _, evicted := open(t, 3*time.Second, "c")
+		Expect(evicted).To(Equal(silent))
+	})
 })
--- a/httpserve/limitedconn.go
+++ b/httpserve/limitedconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		address := HostOf(accepted.RemoteAddr().String())
+		address := ClientOf(accepted.RemoteAddr().String())
 		entry, cause, evicted := l.table.Open(time.Now(), address, idleGrace, func() { _ = accepted.Close() })
 		if evicted != nil {
 			evicted.Evict()
@@ -194,6 +195,27 @@
 	return address
 }
 
+// subnetBits is the length of the IPv6 prefix that one client has.
+const subnetBits = 64
+
+// ClientOf returns the client to which the limits for one address apply: the host of the
+// address, or its subnet with IPv6.
+func ClientOf(address string) string {
+	host := HostOf(address)
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		return host
+	}
+	if ip = ip.Unmap(); ip.Is4() {
+		return ip.String()
+	}
+	subnet, err := ip.WithZone("").Prefix(subnetBits)
+	if err != nil {
+		return host
+	}
+	return subnet.String()
+}
+
 // limitedConn returns the connection of the request; nil if its listener has no limits.
 func limitedConn(ctx context.Context) *LimitedConn {
 	served := ctx.Value(connKey{})
--- a/httpserve/limits.go
+++ b/httpserve/limits.go
@@ -207,7 +207,7 @@
 			return
 		}
 		b := &limitedBody{
-			ReadCloser: r.Body, limiter: l, address: HostOf(r.RemoteAddr), declared: r.ContentLength,
+			ReadCloser: r.Body, limiter: l, address: ClientOf(r.RemoteAddr), declared: r.ContentLength,
 			connection: connection, writer: w, control: http.NewResponseController(w),
 		}
 		// Also a body that is not read has to end, before the answer is written.
--- a/httpserve/limits_test.go
+++ b/httpserve/limits_test.go
@@ -113,3 +113,12 @@
 		Expect(err == nil || strings.Contains(err.Error(), "reset")).To(BeTrue())
 	})
 })
+
+var _ = DescribeTable("A client's address", func(address, client string) {
+	Expect(httpserve.ClientOf(address)).To(Equal(client))
+},
+	Entry("is a host", "10.0.0.1:80", "10.0.0.1"),
+	Entry("is the subnet of a host with IPv6", "[2001:db8:1:2:3:4:5:6]:80", "2001:db8:1:2::/64"),
+	Entry("is that of IPv4 mapped to IPv6", "[::ffff:10.0.0.1]:80", "10.0.0.1"),
+	Entry("has no zone", "[fe80::1%eth0]:80", "fe80::/64"),
+)
--- a/peerrpc/server.go
+++ b/peerrpc/server.go
@@ -89,7 +89,7 @@
 		s.registry.ServeConn(connection)
 		return
 	}
-	limited := &limitedReader{Conn: connection, limiter: s.limiter, budget: s.budget, address: httpserve.HostOf(connection.RemoteAddr().String())}
+	limited := &limitedReader{Conn: connection, limiter: s.limiter, budget: s.budget, address: httpserve.ClientOf(connection.RemoteAddr().String())}
 	limited.connection, _ = connection.(*httpserve.LimitedConn)
 	s.registry.ServeConn(limited)
 	limited.end()
