Connections: no eviction where a request has arrived

What callers saw: with a full table of connections, an idle connection is reset without an answer while its next request is in the kernel's buffer.

Cause: idle is the time since bytes were read, and a busy or paused process has not read what has arrived.

Change: a connection with unread bytes counts as in use, and the next candidate is examined, four of them at most. What arrives after that is still reset; callers repeat a request without an answer.

The test of the table fails without the examination (the waiting connection is evicted).

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -175,6 +175,18 @@
 	return !known || arrived == 0
 }
 
+// unreadIn returns the number of bytes that have arrived at the socket and have not been
+// read; 0 if that is not known.
+func unreadIn(socket any) int {
+	arrived := 0
+	withDescriptor(socket, func(fd int) {
+		if bytes, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			arrived = bytes
+		}
+	})
+	return arrived
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/httpserve/limit/connections.go
+++ b/httpserve/limit/connections.go
@@ -19,7 +19,7 @@
 type Connection struct {
 	table   *Table
 	address string
-	closer  func()
+	socket  Socket
 	// last is when bytes were last read or written. busy is set while a request that has
 	// been read is served. grace is the time without bytes after which the connection may
 	// be evicted.
@@ -32,6 +32,17 @@
 	writing bool
 }
 
+// Socket is the socket of a connection. Its methods are called from any goroutine.
+type Socket interface {
+	// Close closes it.
+	Close() error
+	// Unread reports whether bytes have arrived that have not been read.
+	Unread() bool
+}
+
+// victimTries bounds the connections that are examined to make room for one.
+const victimTries = 4
+
 // NewTable returns a table without connections. share is the fraction of the connections
 // that one client address may have.
 func NewTable(connections int, share float64) *Table {
@@ -41,20 +52,19 @@
 	}
 }
 
-// Open admits a connection; nil if it has to be closed. closer closes it from another
-// goroutine. grace is the time without bytes after which it may be evicted. The evicted
-// connection, if any, has to be closed.
-func (t *Table) Open(now time.Time, address string, grace time.Duration, closer func()) (c *Connection, cause Cause, evicted *Connection) {
+// Open admits a connection; nil if it has to be closed. grace is the time without bytes
+// after which it may be evicted. The evicted connection, if any, has to be closed.
+func (t *Table) Open(now time.Time, address string, grace time.Duration, socket Socket) (c *Connection, cause Cause, evicted *Connection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if full := t.full(address); full != None {
-		evicted = t.victim(now, address, full)
+		evicted = t.unusedVictim(now, address, full)
 		if evicted == nil {
 			return nil, full, nil
 		}
 		t.remove(evicted)
 	}
-	c = &Connection{table: t, address: address, closer: closer, last: now, grace: grace}
+	c = &Connection{table: t, address: address, socket: socket, last: now, grace: grace}
 	t.open[c] = struct{}{}
 	t.addresses[address]++
 	return c, None, evicted
@@ -70,6 +80,19 @@
 	return None
 }
 
+// unusedVictim returns the victim, but none on which a request has arrived: closing it would
+// reset the connection without an answer.
+func (t *Table) unusedVictim(now time.Time, address string, cause Cause) *Connection {
+	for range victimTries {
+		found := t.victim(now, address, cause)
+		if found == nil || found.writing || !found.socket.Unread() {
+			return found
+		}
+		found.last = now
+	}
+	return nil
+}
+
 // victim returns the connection that makes room for another one, or nil if all are in use.
 // Those without a request in service, and those whose client receives no answer, do so once
 // they have been idle for their grace. If the address has used up its share, it is one of the
@@ -117,8 +140,9 @@
 	}
 }
 
-// Evict closes a connection that was returned as evicted.
-func (c *Connection) Evict() { c.closer() }
+// Evict closes a connection that was returned as evicted. An error means that it has been
+// closed already.
+func (c *Connection) Evict() { _ = c.socket.Close() }
 
 // Active records that bytes were read or written.
 func (c *Connection) Active(now time.Time) {
--- a/httpserve/limit/limit_test.go
+++ b/httpserve/limit/limit_test.go
@@ -201,9 +201,15 @@
 	})
 })
 
+// fakeSocket is a socket with bytes that have not been read, or without.
+type fakeSocket struct{ unread bool }
+
+func (s *fakeSocket) Close() error { return nil }
+func (s *fakeSocket) Unread() bool { return s.unread }
+
 var _ = Describe("Table", func() {
 	open := func(t *limit.Table, at time.Duration, address string) (*limit.Connection, limit.Cause, *limit.Connection) {
-		return t.Open(begin.Add(at), address, time.Second, func() {})
+		return t.Open(begin.Add(at), address, time.Second, &fakeSocket{})
 	}
 
 	// An answer was lost whose handler had returned, before it was written.
@@ -277,4 +283,15 @@
 		_, _, evicted := open(t, 3*time.Second, "c")
 		Expect(evicted).To(Equal(silent))
 	})
+
+	// A request in the kernel's buffer was reset without an answer.
+	It("keeps a connection on which a request has arrived", func() {
+		t := limit.NewTable(2, 1)
+		waiting, _, _ := t.Open(begin, "a", time.Second, &fakeSocket{unread: true})
+		idle, _, _ := open(t, 500*time.Millisecond, "a")
+		_, cause, evicted := open(t, 3*time.Second, "b")
+		Expect(cause).To(Equal(limit.None))
+		Expect(evicted).To(Equal(idle))
+		Expect(evicted).NotTo(Equal(waiting))
+	})
 })
--- a/httpserve/limitedconn.go
+++ b/httpserve/limitedconn.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 		address := ClientOf(accepted.RemoteAddr().String())
-		entry, cause, evicted := l.table.Open(time.Now(), address, idleGrace, func() { _ = accepted.Close() })
+		entry, cause, evicted := l.table.Open(time.Now(), address, idleGrace, socket{accepted})
 		if evicted != nil {
 			evicted.Evict()
 			l.limiter.Record(l.kind, limit.Evicted, address)
@@ -44,6 +44,12 @@
 	}
 }
 
+// socket implements limit.Socket.
+type socket struct{ net.Conn }
+
+// Unread implements limit.Socket.
+func (s socket) Unread() bool { return unreadIn(s.Conn) > 0 }
+
 // SetDeadline bounds the wait for a connection, as that of the socket does.
 func (l *limitedListener) SetDeadline(t time.Time) error {
 	if socket, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
