Processes: one memory limit of the runtime

Cause: hornbeam-node set the limit of the Go runtime to half of its instance's memory, hornbeam-gate to three quarters, hornbeam-sched to none, whatever the limits on open requests allow.

Change: the limit follows from the division of the instance, half of its memory, and is set with the limits on open requests, in all three. No fault was shown that needs this one; the processes' tests of open requests pass with it.

--- a/cmd/hornbeam-gate/serve.go
+++ b/cmd/hornbeam-gate/serve.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
@@ -30,10 +29,6 @@
 	"github.com/hornbeamworks/hornbeam/storage/httpstorage"
 )
 
-// heapMemoryShare is the fraction of the instance's memory that is set as the memory limit
-// of the Go runtime.
-const heapMemoryShare = 0.75
-
 // program contains the components of the process.
 type program struct {
 	settings    *programSettings
@@ -79,8 +74,6 @@
 		table:    httpstorage.NewTable(s.Platform.Table, &http.Client{}),
 		peers:    peers,
 	}
-	// The limits on open requests bound what is live; the runtime collects it in time.
-	debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.Runtime.Memory<<20)))
 	p.limiter = httpserve.NewLimiter(s.requests(), s.Runtime.Memory, log)
 	p.process.Limit(p.limiter)
 	p.configStore = config.NewStore(config.NewView(), p.table, system)
--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -40,9 +39,6 @@
 	// yieldSizeRatio is the ratio of CPU shares from which an instance yields the
 	// cell to a larger one.
 	yieldSizeRatio = 2
-	// heapMemoryShare is the fraction of the instance's memory that is set as
-	// the memory limit of the Go runtime.
-	heapMemoryShare = 0.5
 )
 
 // node contains the components of the process.
@@ -68,7 +64,6 @@
 
 // serve builds the process and runs it until it stops.
 func serve(s *nodeSettings, log *logging.Logger) error {
-	debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.Runtime.Memory<<20)))
 	peerClient := peerrpc.NewClient()
 	defer peerClient.Close()
 	n := newNode(s, log, peerClient)
--- a/httpserve/limit/instance.go
+++ b/httpserve/limit/instance.go
@@ -52,6 +52,10 @@
 	Pages:     {memory: 1, sockets: 1},
 }
 
+// HeapBytes returns the size from which the heap is collected more often. What clients can
+// make a process hold on the heap, and the process's own state, stay below it on usual days.
+func (i Instance) HeapBytes() int64 { return i.Memory / 2 }
+
 // BodyBytes returns the bytes that the open bodies of callers and operators may hold.
 func (i Instance) BodyBytes() int64 { return i.Memory / bodiesDivisor }
 
--- a/httpserve/limit/limit_test.go
+++ b/httpserve/limit/limit_test.go
@@ -164,7 +164,7 @@
 		Expect(cause).To(Equal(limit.None))
 	})
 
-	// 480 messages of which only the length arrived made a process allocate 4 GB.
+	// Messages of which little more than the length arrived ended hornbeam-sched.
 	It("charges a body that has its buffer at once with its whole size", func() {
 		g := limit.NewBudget(limit.BodySettings{Bytes: 1 << 20, Count: 16, AddressShare: 1, Factor: 1, Reserve: true, MinRate: 1, StallTime: time.Minute, BodyTime: time.Hour})
 		for range 3 {
--- a/httpserve/limits.go
+++ b/httpserve/limits.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// HeapBytes returns the memory limit of the Go runtime.
+func (l *Limiter) HeapBytes() int64 { return l.instance.HeapBytes() }
+
 // PeerBudget returns a budget for the messages of peers, which callers can't use up. The
 // decoder of package gob allocates the announced size of a message before it arrives.
 func (l *Limiter) PeerBudget() *limit.Budget {
--- a/process/process.go
+++ b/process/process.go
@@ -8,6 +8,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -86,9 +87,13 @@
 	return p
 }
 
-// Limit sets the limits on open requests at the ports for pages. It is called before
-// ServeAdmin and ServePages.
-func (p *Process) Limit(l *httpserve.Limiter) { p.limiter = l }
+// Limit sets the limits on open requests at the ports for pages, and the memory limit of
+// the Go runtime: the limits on open requests bound what is live, which the runtime collects
+// in time. It is called before ServeAdmin and ServePages.
+func (p *Process) Limit(l *httpserve.Limiter) {
+	p.limiter = l
+	debug.SetMemoryLimit(l.HeapBytes())
+}
 
 // Group returns the group of the process's duties.
 func (p *Process) Group() *duty.Group { return p.group }
