Tests of open requests: figures of real instances, by hand

HORNBEAM_CROWD, HORNBEAM_DESCRIPTORS and HORNBEAM_MEMORY replace the figures of the tests in a run by hand.

--- a/integration/openrequests/openrequests_test.go
+++ b/integration/openrequests/openrequests_test.go
@@ -20,7 +20,7 @@
 
 // crowd is the number of connections of a flood: more than the instance has descriptors
 // for, and with bodies that need more than its memory.
-var crowd = 900
+var crowd = fromEnvironment("HORNBEAM_CROWD", 900)
 
 const (
 	// bodyBytes is the size of each body, below the limit of 262,144 bytes that clients
@@ -342,7 +342,7 @@
 	})
 
 	It("(i) whole bodies of many steps, while the table does not answer: hornbeam-node survives and runs jobs", func() {
-		n := startNode(instance{memoryMiB: lowered.memoryMiB, descriptors: 1200}, platformtest.Serving)
+		n := startNode(instance{memoryMiB: lowered.memoryMiB, descriptors: max(lowered.descriptors, 1200)}, platformtest.Serving)
 		n.completes()
 		n.table.SetFaultMode(platformtest.Silent)
 		hurried := n.target()
--- a/integration/openrequests/processes_test.go
+++ b/integration/openrequests/processes_test.go
@@ -30,11 +30,20 @@
 	// entry has the figures of the small entry instance of docs/design/heavy-load.md. The
 	// descriptors are lowered from 4,100 so that a crowd of some hundred connections
 	// exceeds them.
-	entry = instance{memoryMiB: 184, descriptors: 700}
+	entry = instance{memoryMiB: 184, descriptors: fromEnvironment("HORNBEAM_DESCRIPTORS", 700)}
 	// lowered has less memory, which the crowd exceeds with what it leaves unread.
-	lowered = instance{memoryMiB: 96, descriptors: 700}
+	lowered = instance{memoryMiB: fromEnvironment("HORNBEAM_MEMORY", 96), descriptors: entry.descriptors}
 )
 
+// fromEnvironment returns the figure of a run by hand at the size of a real instance, or
+// the one of all other runs.
+func fromEnvironment(name string, usual int) int {
+	if figure, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return figure
+	}
+	return usual
+}
+
 const (
 	// waitTimeout bounds every wait. It is reached only when a test fails.
 	waitTimeout = 30 * time.Second
