--- a/peerrpc/server.go
+++ b/peerrpc/server.go
@@ -19,8 +19,7 @@
 // Server serves the registered net/rpc services to peers.
 type Server struct {
 	registry *rpc.Server
-	// limiter and budget limit the connections and the messages of peers; nil for no
-	// limits.
+	// limiter and budget limit the messages of peers; nil for no limits.
 	limiter *httpserve.Limiter
 	budget  *limit.Budget
 	// mu guards open and closed: the connections are closed when Serve's context ends,
@@ -35,8 +34,8 @@
 	return &Server{registry: rpc.NewServer(), open: map[net.Conn]bool{}}
 }
 
-// Limit sets the limits on connections and open messages of peers. It is called before
-// Serve.
+// Limit sets the limits on open messages of peers. It is called before Serve, whose listener
+// is one of l.
 func (s *Server) Limit(l *httpserve.Limiter) { s.limiter, s.budget = l, l.PeerBudget() }
 
 // Register registers a service under the name. Its methods must satisfy the
