Connections: no deadline for each write

Cause: each write set and cleared a deadline, four readings of the clock instead of one.

Change: a write has no deadline; a connection whose client receives nothing for a second makes room for another one, which is what protects the listeners. Its place costs no more than any other connection until then.

--- a/httpserve/limit/connections.go
+++ b/httpserve/limit/connections.go
@@ -144,18 +144,25 @@
 // closed already.
 func (c *Connection) Evict() { _ = c.socket.Close() }
 
-// Active records that bytes were read or written.
+// Active records that bytes were read.
 func (c *Connection) Active(now time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.last = now
 }
 
-// SetWriting records whether bytes are being written.
-func (c *Connection) SetWriting(now time.Time, writing bool) {
+// BeginWrite records that bytes are being written, until EndWrite.
+func (c *Connection) BeginWrite(now time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	c.writing, c.last = writing, now
+	c.writing, c.last = true, now
+}
+
+// EndWrite records that a write has ended.
+func (c *Connection) EndWrite() {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.writing = false
 }
 
 // SetBusy records whether a request that has been read is being served. Its answer is on
--- a/httpserve/limitedconn.go
+++ b/httpserve/limitedconn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"sync"
 	"syscall"
 	"time"
 
@@ -40,7 +39,7 @@
 			l.limiter.Record(l.kind, cause, address)
 			continue
 		}
-		return &LimitedConn{Conn: accepted, entry: entry, stallTime: l.limiter.settings.StallTime}, nil
+		return &LimitedConn{Conn: accepted, entry: entry}, nil
 	}
 }
 
@@ -75,13 +74,6 @@
 	// enlarged is set while the receive buffer is large. It is used by the goroutine that
 	// reads a body.
 	enlarged bool
-	// stallTime is the longest time in which the client receives nothing of what is written.
-	stallTime time.Duration
-
-	// mu guards writeDeadline, the deadline that the server has set: handlers set it from
-	// other goroutines than the one that writes.
-	mu            sync.Mutex
-	writeDeadline time.Time
 }
 
 // Read implements net.Conn.
@@ -93,55 +85,14 @@
 	return n, err
 }
 
-// writePiece is the number of bytes that a client has to receive within the stall time.
-const writePiece = 16 << 10
-
-// Write implements net.Conn. It fails if the client does not receive what is written: its
-// connection would otherwise be in use for any time.
+// Write implements net.Conn. While it waits for the client to receive, the connection may
+// make room for another one.
 func (c *LimitedConn) Write(p []byte) (int, error) {
-	written := 0
-	for {
-		n, err := c.writePart(p[written:min(len(p), written+writePiece)])
-		written += n
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
-}
-
-func (c *LimitedConn) writePart(p []byte) (int, error) {
-	now := time.Now()
-	c.entry.SetWriting(now, true)
-	defer func() { c.entry.SetWriting(time.Now(), false) }()
-	c.limitWrite(now.Add(c.stallTime))
-	defer c.limitWrite(time.Time{})
+	c.entry.BeginWrite(time.Now())
+	defer c.entry.EndWrite()
 	return c.Conn.Write(p)
 }
 
-// limitWrite bounds a write by the time, if it is not zero, and by the deadline that the
-// server has set. It fails only on a closed connection, whose writes then return that error.
-func (c *LimitedConn) limitWrite(end time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if end.IsZero() || !c.writeDeadline.IsZero() && c.writeDeadline.Before(end) {
-		end = c.writeDeadline
-	}
-	_ = c.Conn.SetWriteDeadline(end)
-}
-
-// SetWriteDeadline implements net.Conn.
-func (c *LimitedConn) SetWriteDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeDeadline = t
-	return c.Conn.SetWriteDeadline(t)
-}
-
-// SetDeadline implements net.Conn.
-func (c *LimitedConn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
-}
-
 // Close implements net.Conn.
 func (c *LimitedConn) Close() error {
 	c.entry.Close()
