--- a/integration/openrequests/openrequests_test.go
+++ b/integration/openrequests/openrequests_test.go
@@ -379,6 +379,17 @@
 		g.check()
 	})
 
+	It("(l) a large legal request alone, over a slow link: hornbeam-node serves it", func() {
+		n := startNode(lowered, platformtest.Serving)
+		n.completes()
+		link, stop := slowLink(n.front)
+		DeferCleanup(stop)
+		answered(func() int {
+			return call(http.MethodPost, "http://"+link+"/cook/00000000000000fe", queueHost, queueHeader, job.pieces[0])
+		}, http.StatusOK)
+		n.check()
+	})
+
 	It("(k) answers that are not read: hornbeam-node survives and answers", func() {
 		n := startNode(lowered, platformtest.Serving)
 		n.completes()
--- a/integration/openrequests/processes_test.go
+++ b/integration/openrequests/processes_test.go
@@ -235,6 +235,40 @@
 	return response.StatusCode, string(raw)
 }
 
+// linkPiece is what a slow link carries in each linkPeriod.
+const linkPiece, linkPeriod = 4 << 10, 20 * time.Millisecond
+
+// slowLink returns the address of a slow link to the address.
+func slowLink(address string) (link string, stop func() error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			// An error ends the connection in both directions.
+			go func() {
+				for err := error(nil); err == nil; time.Sleep(linkPeriod) {
+					_, err = io.CopyN(to, from, linkPiece)
+				}
+				_ = to.Close()
+			}()
+			go func() {
+				_, _ = io.Copy(from, to)
+				_ = from.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String(), listener.Close
+}
+
 // answered waits for an ordinary request to be served: callers repeat a refused one.
 func answered(request func() int, statuses ...int) {
 	GinkgoHelper()
