Processes: ServePages listens itself

Cause: since the limits on unread bytes, ServeAdmin opened its listener by one way and hornbeam-node that of the readiness page by another, and ServePages required that its caller had chosen the right kind.

Change: ServePages takes the address and listens with the limits for pages, as ServeAdmin did. Behavior is the same.

--- a/cmd/hornbeam-node/serve.go
+++ b/cmd/hornbeam-node/serve.go
@@ -159,18 +159,13 @@
 // serveReady serves the readiness page, by which the platform decides whether to
 // send new connections.
 func (n *node) serveReady() error {
-	listener, err := n.limiter.Listen(limit.Pages, n.settings.Listen.Ready)
-	if err != nil {
-		return eris.Wrap(err, "listening for readiness checks")
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !n.process.Ready() || !n.front.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	n.process.ServePages(listener, mux)
-	return nil
+	return eris.Wrap(n.process.ServePages(n.settings.Listen.Ready, mux), "listening for readiness checks")
 }
 
 // serveFront serves callers. On drain it still serves for the linger time, closing
--- a/process/http.go
+++ b/process/http.go
@@ -41,12 +41,7 @@
 // ServeAdmin serves the admin pages at the address. They are served until the
 // process stops, so that /readyz returns 503 during the drain.
 func (p *Process) ServeAdmin(address string) error {
-	listener, err := p.listenForPages(address)
-	if err != nil {
-		return eris.Wrap(err, "listening for the admin pages")
-	}
-	p.ServePages(listener, p.adminPages())
-	return nil
+	return eris.Wrap(p.ServePages(address, p.adminPages()), "listening for the admin pages")
 }
 
 func (p *Process) listenForPages(address string) (net.Listener, error) {
@@ -80,9 +75,13 @@
 	return httpserve.ServeUntilClosed(s.Server, listener)
 }
 
-// ServePages serves pages for machines, such as the readiness page, until the process
-// stops. The listener is one of the limiter, if there is one.
-func (p *Process) ServePages(listener net.Listener, handler http.Handler) {
+// ServePages serves pages for machines, such as the readiness page, at the address until the
+// process stops.
+func (p *Process) ServePages(address string, handler http.Handler) error {
+	listener, err := p.listenForPages(address)
+	if err != nil {
+		return err
+	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
@@ -90,6 +89,7 @@
 		p.limiter.LimitPages(server)
 	}
 	p.ServeUntilStopped(listener, pages{server})
+	return nil
 }
 
 // adminPages returns the admin pages: /readyz for the load
