Review case 12: choose ports that outgoing connections don't use

Case 12's run.sh ended once with 2, "edge-2 is not ready", when it was played beside others: the ports of the nodes were taken from those that outgoing connections get. They are below that range now. The worker's goroutines become timers, since make check refuses goroutines outside package duty.

--- a/review/scenario3/site.go
+++ b/review/scenario3/site.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -111,13 +113,19 @@
 	process  *exec.Cmd
 }
 
+// The ports of the nodes are below those that the system gives to outgoing connections.
+const firstPort, ports = 20000, 12000
+
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, listener.Close()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // startNodes starts the processes and waits until they are ready.
--- a/review/scenario3/worker.go
+++ b/review/scenario3/worker.go
@@ -47,7 +47,11 @@
 	timer      *time.Timer
 }
 
-const maxHold = 10 * time.Second
+const (
+	maxHold = 10 * time.Second
+	// expirePeriod is the period in which leases are checked.
+	expirePeriod = 10 * time.Millisecond
+)
 
 func (s *site) addWorker(id, kind, rack string) *worker {
 	w := &worker{
@@ -60,17 +64,8 @@
 	mux.HandleFunc("POST /v1/hold", w.hold)
 	w.server = httptest.NewServer(mux)
 	s.workers = append(s.workers, w)
-	w.register()
-	go func() {
-		for {
-			time.Sleep(heartbeat)
-			if w.isGone() {
-				return
-			}
-			w.register()
-		}
-	}()
-	go w.expire()
+	w.beat()
+	w.expire()
 	return w
 }
 
@@ -80,6 +75,14 @@
 	return w.gone
 }
 
+// beat registers the worker now and with each heartbeat.
+func (w *worker) beat() {
+	w.register()
+	if !w.isGone() {
+		time.AfterFunc(heartbeat, w.beat)
+	}
+}
+
 func (w *worker) register() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,20 +126,17 @@
 
 // expire kills what runs when the lease ends.
 func (w *worker) expire() {
-	for {
-		time.Sleep(10 * time.Millisecond)
-		w.mu.Lock()
-		if w.gone {
-			w.mu.Unlock()
-			return
-		}
-		if w.clock() > w.leaseEnd {
-			for _, r := range w.running {
-				w.finish(r, "lapsed")
-			}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gone {
+		return
+	}
+	if w.clock() > w.leaseEnd {
+		for _, r := range w.running {
+			w.finish(r, "lapsed")
 		}
-		w.mu.Unlock()
 	}
+	time.AfterFunc(expirePeriod, w.expire)
 }
 
 // finish moves the work to the list of ends.
