--- a/review/scenario3/worker.go
+++ b/review/scenario3/worker.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -27,6 +29,7 @@
 	born     int64
 	began    time.Time
 	gone     bool
+	down     bool
 	draining bool
 	seq      int
 	fence    uint64
@@ -62,7 +65,16 @@
 	mux.HandleFunc("POST /v1/run-start", w.start)
 	mux.HandleFunc("POST /v1/run-stop", w.stop)
 	mux.HandleFunc("POST /v1/hold", w.hold)
-	w.server = httptest.NewServer(mux)
+	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		down := w.down
+		w.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(rw, r)
+	}))
+	w.server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	s.workers = append(s.workers, w)
 	w.beat()
 	w.expire()
@@ -122,6 +134,27 @@
 	w.s.log("worker %s is gone", w.id)
 }
 
+// restart makes the worker crash and start again under its ID after the given time.
+func (w *worker) restart(down time.Duration) {
+	w.mu.Lock()
+	w.down = true
+	for _, r := range w.running {
+		r.timer.Stop()
+		w.s.log("worker %s: %s#%d ends with the worker", w.id, r.task, r.run)
+	}
+	w.running = map[string]*work{}
+	w.mu.Unlock()
+	w.s.log("worker %s crashes", w.id)
+	w.server.CloseClientConnections()
+	time.Sleep(down)
+	w.mu.Lock()
+	w.down, w.born, w.began = false, time.Now().UnixMilli(), time.Now()
+	w.fence, w.leaseEnd, w.highest, w.ended, w.lastEnd, w.seq = 0, 0, map[string]int{}, nil, 0, 0
+	w.mu.Unlock()
+	w.s.log("worker %s is back, born %d", w.id, w.born)
+	w.register()
+}
+
 func (w *worker) clock() int64 { return time.Since(w.began).Milliseconds() }
 
 // expire kills what runs when the lease ends.
