--- a/review/scenario3/worker.go
+++ b/review/scenario3/worker.go
@@ -305,6 +305,9 @@
 	defer w.mu.Unlock()
 	w.extend(o.Deadline)
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= o.LastSeen {
+		if w.ended[0][3] == "done" {
+			w.s.log("worker %s: %s#%d noted done", w.id, w.ended[0][1], w.ended[0][2])
+		}
 		w.ended = w.ended[1:]
 	}
 	if len(w.ended) == 0 && o.Wait > 0 {
