Review case 14: hand-overs of the cell prolong the wait for a lost worker (LOST)

Each new holder waits the whole lease time again for endpoints that do not respond. A worker with a lasting task and the holder are lost at the same time; a small instance takes over and yields to the large one that is back, and the task is not run for 12.5 s.

--- a/review/scenario3/site.go
+++ b/review/scenario3/site.go
@@ -130,8 +130,17 @@
 
 // startNodes starts the processes and waits until they are ready.
 func (s *site) startNodes(count int) error {
-	for i := range count {
-		n, err := s.newNode(fmt.Sprintf("edge-%d", i+1))
+	shares := make([]string, count)
+	for i := range shares {
+		shares[i] = "0.4"
+	}
+	return s.startNodesOf(shares...)
+}
+
+// startNodesOf is startNodes for machines with the given shares of a core.
+func (s *site) startNodesOf(shares ...string) error {
+	for i, share := range shares {
+		n, err := s.newNode(fmt.Sprintf("edge-%d", i+1), share)
 		if err != nil {
 			return err
 		}
@@ -149,11 +158,11 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	s.log("%d instances are ready", count)
+	s.log("%d instances are ready", len(shares))
 	return nil
 }
 
-func (s *site) newNode(name string) (*node, error) {
+func (s *site) newNode(name, share string) (*node, error) {
 	n := &node{s: s, name: name, settings: filepath.Join(s.folder, name+".ini")}
 	var addresses [4]string
 	for i := range addresses {
@@ -183,7 +192,7 @@
 		"{{ip}}:{{port-range.0}}", addresses[2], "{{ip}}:{{port-range.1}}", addresses[3],
 		"{{platform.addr}}", s.table.Address, "{{platform.across}}", "true", "{{advice}}", "",
 		"{{bounds.hold-max-ms}}", "10000", "{{bounds.stop-ms}}", "400",
-		"{{limits.cpu-share}}", "0.4", "{{limits.memory-mb}}", "284",
+		"{{limits.cpu-share}}", share, "{{limits.memory-mb}}", "284",
 	).Replace(text)
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("a placeholder of %s is not known:\n%s", template, text)
--- a/review/scenario3/worker.go
+++ b/review/scenario3/worker.go
@@ -81,6 +81,14 @@
 	return w
 }
 
+// setDraining changes the state of the worker and registers it.
+func (w *worker) setDraining(draining bool) {
+	w.mu.Lock()
+	w.draining = draining
+	w.mu.Unlock()
+	w.register()
+}
+
 func (w *worker) isGone() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
