Review 3: restart a process whose ports are taken, and report the plays that did not run

3 of 32 plays with TROUBLE=0 ended with 2, "bind: address already in use" in the node's log: plays beside each other had drawn the same ports. The scripts now start such a process again at other ports.

--- a/review/scenario3/site.go
+++ b/review/scenario3/site.go
@@ -116,13 +116,18 @@
 // The ports of the nodes are below those that the system gives to outgoing connections.
 const firstPort, ports = 20000, 12000
 
+// takenPorts are the ports that this process has given out.
+var takenPorts = map[int]bool{}
+
 func freeAddress() (string, error) {
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		port := firstPort + rand.IntN(ports)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
-		if err != nil {
+		if err != nil || takenPorts[port] {
 			continue
 		}
+		takenPorts[port] = true
 		return address, listener.Close()
 	}
 	return "", errors.New("no port is free")
@@ -150,10 +155,17 @@
 		}
 	}
 	deadline := time.Now().Add(15 * time.Second)
-	for _, n := range s.nodes {
-		for !n.isReady() {
+	for i := range s.nodes {
+		for !s.nodes[i].isReady() {
+			n := s.nodes[i]
+			raw, _ := os.ReadFile(n.settings + ".log")
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", n.name)
+				return fmt.Errorf("%s is not ready; the end of its log: %s", n.name, raw[max(0, len(raw)-500):])
+			}
+			if strings.Contains(string(raw), "address already in use") {
+				if err := s.moveNode(i, shares[i]); err != nil {
+					return err
+				}
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -162,6 +174,22 @@
 	return nil
 }
 
+// moveNode starts the node at other ports: another program has taken one of its own.
+func (s *site) moveNode(index int, share string) error {
+	former := s.nodes[index]
+	s.log("%s starts again at other ports", former.name)
+	former.kill()
+	if err := os.Remove(former.settings + ".log"); err != nil {
+		return err
+	}
+	n, err := s.newNode(former.name, share)
+	if err != nil {
+		return err
+	}
+	s.nodes[index] = n
+	return n.launch()
+}
+
 func (s *site) newNode(name, share string) (*node, error) {
 	n := &node{s: s, name: name, settings: filepath.Join(s.folder, name+".ini")}
 	var addresses [4]string
