--- a/review/scenario3/client.go
+++ b/review/scenario3/client.go
@@ -55,8 +55,16 @@
 
 // submit hands a job in until it is accepted, for 10 s at most.
 func (s *site) submit(path, id, spec string, steps ...step) error {
+	return s.submitAt(nil, path, id, spec, steps...)
+}
+
+// submitAt is submit at one node; nil for each in turn.
+func (s *site) submitAt(node *node, path, id, spec string, steps ...step) error {
 	for try := range 10 {
 		n := s.nodes[try%len(s.nodes)]
+		if node != nil {
+			n = node
+		}
 		status, _ := s.call(n, http.MethodPost, path+id, map[string]any{"spec": spec, "steps": steps})
 		if status == http.StatusOK {
 			return nil
--- a/review/scenario3/site.go
+++ b/review/scenario3/site.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,11 +34,16 @@
 	trouble bool
 	start   time.Time
 	folder  string
+	// links has the addresses of proxies to the table, by node.
+	links   map[string]string
 	table   *platformtest.Table
 	nodes   []*node
 	workers []*worker
 	closers []func()
 
+	// begun counts the first runs of tasks.
+	begun atomic.Int64
+
 	mu     sync.Mutex
 	record *os.File
 }
@@ -103,6 +109,17 @@
 	s.log("configuration %d is acknowledged", version)
 }
 
+// memoryOf has the memory in MB of a machine with the share of a core, as in the site files.
+var memoryOf = map[string]string{"0.192": "184", "0.4": "284", "0.8": "536"}
+
+// tableAddress returns the address at which the node reaches the table.
+func (s *site) tableAddress(node string) string {
+	if link := s.links[node]; link != "" {
+		return link
+	}
+	return s.table.Address
+}
+
 // node is a process of hornbeam-node.
 type node struct {
 	s        *site
@@ -218,9 +235,9 @@
 	text = strings.NewReplacer(
 		"{{node}}", name, "{{zone}}", "langley", "{{listen.front}}", n.front, "{{listen.ready}}", n.ready,
 		"{{ip}}:{{port-range.0}}", addresses[2], "{{ip}}:{{port-range.1}}", addresses[3],
-		"{{platform.addr}}", s.table.Address, "{{platform.across}}", "true", "{{advice}}", "",
+		"{{platform.addr}}", s.tableAddress(name), "{{platform.across}}", "true", "{{advice}}", "",
 		"{{bounds.hold-max-ms}}", "10000", "{{bounds.stop-ms}}", "400",
-		"{{limits.cpu-share}}", share, "{{limits.memory-mb}}", "284",
+		"{{limits.cpu-share}}", share, "{{limits.memory-mb}}", memoryOf[share],
 	).Replace(text)
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("a placeholder of %s is not known:\n%s", template, text)
--- a/review/scenario3/worker.go
+++ b/review/scenario3/worker.go
@@ -273,7 +273,8 @@
 		}
 	}
 	w.running[o.Task] = r
-	w.s.log("worker %s: %s#%d starts (%s)", w.id, r.task, r.run, r.spec)
+	w.s.begun.Add(1)
+	w.s.log("worker %s: %s#%d starts (%.20s)", w.id, r.task, r.run, r.spec)
 	r.timer = time.AfterFunc(r.duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
